router: a report of the instant of a send no longer hides the call

The test runs in virtual time, so load only changes the order of goroutines within one instant. The router dropped its own sends up to and including the time of a load report as 'included in the report'. A poll at the very instant of a send that the engine answered before the call arrived therefore hid the call until the next poll, and the slot looked free. Ruled out: the test's sleeps (virtual), the hold time, the fading of reports. Change: a send is taken as included only where it is older than the report. A router test without goroutines states the case and was red before. Conclusion: the product was wrong, the test stays as it is.

--- a/router/exchange_test.go
+++ b/router/exchange_test.go
@@ -97,3 +97,20 @@
 	}
 	b.ReportMetric(float64(len(peer.Export(1<<20)))/float64(peer.KnownPrefixes()), "bytes/prefix")
 }
+
+// A report that was measured at the instant of a send may have been made before the call arrived.
+func TestReportOfTheInstantOfASendDoesNotHideTheCall(t *testing.T) {
+	c := newClock()
+	r, allowed := newRouter(t, c, 1)
+	wanted := request(1, 2, allowed)
+	wanted.Class = router.ClassDeferrable
+	sent := request(2, 2, allowed)
+	r.ObserveLoad("engine-000", router.Load{Incarnation: "1", Running: 5}, c.now)
+	for range 2 {
+		r.Sent(sent, route(t, r, sent))
+	}
+	r.ObserveLoad("engine-000", router.Load{Incarnation: "1", Running: 5}, c.now)
+	if hold := route(t, r, wanted).Hold; hold <= 0 {
+		t.Error("a deferrable call is let into slots that calls of the same instant have taken")
+	}
+}
--- a/router/target.go
+++ b/router/target.go
@@ -189,9 +189,10 @@
 // sweepEntries bounds the part of the table that is swept with each report.
 const sweepEntries = 4096
 
-// dropReported forgets the calls that the last report includes.
+// dropReported forgets the calls that the last report includes. A call that was sent at the very
+// time of the report may not be in it, and is counted until the next one.
 func (t *target) dropReported() {
-	t.sends = slices.DeleteFunc(t.sends, func(s send) bool { return !s.at.After(t.measured) })
+	t.sends = slices.DeleteFunc(t.sends, func(s send) bool { return s.at.Before(t.measured) })
 }
 
 // occupy adds work to the backlog.
