platform, assembler, relayer, placer, upgrader: the whole path on the hosting platform, first and thin

A second way of wiring a daemon (rilld front): the configuration, targets and weights are followed in the platform's store, callers' requests go through relayer, placer and connector, and one holder of a lease brings engines to new weights.

--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,209 @@
+// Package assembler puts the parts of a daemon on a hosting platform together.
+//
+// It is the counterpart of package runner: the same kind of daemon, whose configuration, targets
+// and agreements come from the platform's store, and whose callers and targets speak the
+// platform's form of HTTP. It is the only package that imports package platform.
+//
+// # Usage
+//
+//	daemon, err := assembler.New(ctx, assembler.Settings{Settings: settings, LogOutput: os.Stdout})
+//	<-stopped
+//	err = daemon.Shutdown()
+package assembler
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/rosemaryrill/rosemaryrill/cataloger"
+	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/follower"
+	"github.com/rosemaryrill/rosemaryrill/leaser"
+	"github.com/rosemaryrill/rosemaryrill/loader"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/platform"
+	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/tracker"
+	"github.com/rosemaryrill/rosemaryrill/upgrader"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("assembler")
+
+const (
+	// declarationsWait is how long one watch of the operators' keys waits. Contact is aged from
+	// the start of a watch, so it bounds how old contact gets on a calm day.
+	declarationsWait = 1200 * time.Millisecond
+	// targetsWait and dutyWait are how long the other watches wait.
+	targetsWait = 10 * time.Second
+	dutyWait    = 10 * time.Second
+	// keyMargin is kept from the bound on revoked keys.
+	keyMargin = 600 * time.Millisecond
+	// memoryShare is the part of the memory at which the collector works harder.
+	memoryShare = 0.6
+	// collectorPercent trades processor time for memory.
+	collectorPercent = 50
+	// hostsPrefix is where daemons say that they run.
+	hostsPrefix = "rill/hosts/"
+)
+
+// Settings are the parameters of a Daemon.
+type Settings struct {
+	loader.Settings
+	// LogOutput takes the log lines.
+	LogOutput io.Writer
+}
+
+// knowledge is what the daemon believes of its deployment.
+type knowledge struct {
+	declarations *tracker.Declarations
+	targets      *tracker.Targets
+	followers    []*follower.Follower
+	contact      *follower.Follower
+	places       *placer.Placer
+}
+
+// Catalog returns the configuration in force.
+func (k *knowledge) Catalog() *cataloger.Catalog { return k.declarations.Catalog() }
+
+// ContactAge is the time since the configuration was known to be the newest.
+func (k *knowledge) ContactAge() time.Duration { return k.contact.ContactAge() }
+
+// duties is what one daemon does for all.
+type duties struct {
+	lease    *leaser.Leaser
+	upgrader *upgrader.Upgrader
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	settings  Settings
+	logger    *slog.Logger
+	store     *platform.Store
+	targets   *connector.Connector
+	knowledge *knowledge
+	duties    duties
+	edge      *edge
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+}
+
+// New starts a daemon.
+func New(ctx context.Context, settings Settings) (d *Daemon, err error) {
+	defer Error.WrapP(&err)
+	if len(settings.Platform) == 0 {
+		return nil, errs.New("no address of the platform's store is set")
+	}
+	debug.SetGCPercent(collectorPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Hosted.MemoryBytes)))
+	d = &Daemon{
+		settings: settings,
+		logger:   slog.New(slog.NewJSONHandler(settings.LogOutput, &slog.HandlerOptions{Level: settings.Log.Level})),
+		store:    platform.NewStore(settings.Platform[0]),
+		targets:  connector.New(connector.Settings{}),
+	}
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.knowledge = d.newKnowledge()
+	d.duties = d.newDuties()
+	d.follow()
+	if d.edge, err = d.newEdge(); err != nil {
+		d.cancel()
+		return nil, err
+	}
+	for _, f := range d.knowledge.followers {
+		f.Start(ctx)
+	}
+	d.duties.lease.Start(ctx)
+	d.duties.upgrader.Start(ctx)
+	d.logger.Info("daemon started", "name", settings.Name, "data_centre", settings.DataCentre, "callers", settings.CallersListen)
+	return d, nil
+}
+
+func (d *Daemon) newKnowledge() *knowledge {
+	k := &knowledge{}
+	k.places = placer.New(placer.Settings{
+		DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
+	})
+	k.declarations = tracker.NewDeclarations(tracker.DeclarationsSettings{
+		Decode: decodeDeclared,
+		Accepted: func(catalog *cataloger.Catalog) {
+			k.places.SetEngines(engines(catalog))
+		},
+		Wanted: func(weights tracker.Weights) {
+			d.logger.Info("weights wanted", "model", weights.Model, "version", weights.Version)
+			k.places.Want(weights.Model, weights.Version)
+			d.duties.upgrader.Wake()
+		},
+		Logger: d.logger,
+	})
+	k.targets = tracker.NewTargets(tracker.TargetSettings{
+		Decode: platform.DecodeTarget, Changed: k.places.SetTargets, Logger: d.logger,
+	})
+	return k
+}
+
+func (d *Daemon) newDuties() duties {
+	lease := leaser.New(leaser.Settings{
+		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.logger,
+		Key: hostsPrefix + d.settings.Name, Value: []byte(d.settings.PeersAdvertise.String()),
+	})
+	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
+		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
+		Places: d.knowledge.places, Logger: d.logger, TakeOver: d.settings.Hosted.LeaseTime, Rank: rand.Float64(),
+	})}
+}
+
+// follow lists the prefixes of the store that the daemon follows.
+func (d *Daemon) follow() {
+	k := d.knowledge
+	for _, settings := range []follower.Settings{
+		{Prefix: platform.DeclarationsPrefix, Sink: k.declarations, Wait: declarationsWait},
+		{Prefix: platform.TargetsPrefix, Sink: k.targets, Wait: targetsWait},
+		{Prefix: upgrader.KeyPrefix, Sink: d.duties.upgrader, Wait: dutyWait},
+	} {
+		settings.Store, settings.Logger = d.store, d.logger
+		k.followers = append(k.followers, follower.New(settings))
+	}
+	k.contact = k.followers[0]
+}
+
+// Shutdown stops the daemon without cutting a request that can end in time.
+func (d *Daemon) Shutdown() (err error) {
+	defer Error.WrapP(&err)
+	d.stopping.Store(true)
+	d.logger.Info("daemon stopping", "bound", d.settings.Hosted.StopBound)
+	err = d.duties.upgrader.Close()
+	err = errs.Combine(err, d.edge.shutdown())
+	return errs.Combine(err, d.close())
+}
+
+func (d *Daemon) close() error {
+	var group errs.Group
+	d.cancel()
+	for _, f := range d.knowledge.followers {
+		group.Add(f.Close())
+	}
+	group.Add(d.knowledge.targets.Close())
+	group.Add(d.duties.lease.Close())
+	group.Add(d.targets.Close())
+	group.Add(d.store.Close())
+	d.logger.Info("daemon stopped", "error", cmp.Or(group.Err(), nil))
+	return group.Err()
+}
+
+func (d *Daemon) newRelayer(k *knowledge) *relayer.Relayer {
+	return relayer.New(relayer.Settings{
+		Knowledge: k, Places: k.places, Targets: d.targets, Codec: platform.Codec{},
+		Budget: newBudgets(d.settings.Hosted), Logger: d.logger,
+		KeyBound:    d.settings.Hosted.KeyRevocation - keyMargin,
+		DenialBound: d.settings.Hosted.ConfigurationSpread,
+	})
+}
--- /dev/null
+++ b/assembler/edge.go
@@ -0,0 +1,170 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"github.com/rosemaryrill/rosemaryrill/platform"
+	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/waiter"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+	// largestHeader and largestBody bound requests before a configuration is known.
+	largestHeader = 1 << 20
+	largestBody   = 32 << 20
+	// idleCheck is how often connections are looked through for idle ones.
+	idleCheck = 500 * time.Millisecond
+	// leaveTime is how long a stopping daemon takes connections until the balancer has noticed two
+	// failed questions, a second apart.
+	leaveTime = 2600 * time.Millisecond
+	// stopMargin is kept from the bound on a stop.
+	stopMargin = 700 * time.Millisecond
+)
+
+// edge serves callers.
+type edge struct {
+	daemon  *Daemon
+	relayer *relayer.Relayer
+	callers *http.Server
+	ready   *http.Server
+	group   conc.WaitGroup
+	open    atomic.Int64
+	idle    idleConnections
+}
+
+func (d *Daemon) newEdge() (e *edge, err error) {
+	e = &edge{daemon: d, relayer: d.newRelayer(d.knowledge)}
+	e.idle.since = make(map[net.Conn]time.Time)
+	e.callers = &http.Server{
+		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: largestHeader,
+		ConnState: e.idle.note,
+	}
+	questions := httprouter.New()
+	questions.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { e.answerReady(w) })
+	e.ready = &http.Server{Handler: questions, ReadHeaderTimeout: headerTimeout}
+	if err := e.listen(e.callers, d.settings.CallersListen); err != nil {
+		return nil, err
+	}
+	if err := e.listen(e.ready, d.settings.Hosted.ReadyListen); err != nil {
+		return nil, errors.Join(err, e.callers.Close())
+	}
+	return e, nil
+}
+
+func (e *edge) listen(server *http.Server, address netip.AddrPort) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return err
+	}
+	e.group.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.daemon.logger.Error("port lost", "address", address, "error", err)
+		}
+	})
+	return nil
+}
+
+// answerReady says whether the daemon wants new connections: it has a configuration, contact that
+// lets it take keys, and does not stop.
+func (e *edge) answerReady(w http.ResponseWriter) {
+	k := e.daemon.knowledge
+	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.settings.Hosted.KeyRevocation*3/5 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serve reads one request and hands it on.
+func (e *edge) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	if e.daemon.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := platform.ReadBody(w, r, e.bodyBound())
+	if err != nil {
+		e.refuseBody(w, err)
+		return
+	}
+	call, err := platform.DecodeCall(r, body, arrived)
+	if err != nil {
+		e.daemon.logger.Info("request not understood", "error", err)
+		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true})
+		return
+	}
+	e.relayer.Relay(r.Context(), w, call)
+}
+
+func (e *edge) bodyBound() int64 {
+	if catalog := e.daemon.knowledge.Catalog(); catalog != nil && catalog.Limits().MaxBodyBytes > 0 {
+		return int64(catalog.Limits().MaxBodyBytes)
+	}
+	return largestBody
+}
+
+func (e *edge) refuseBody(w http.ResponseWriter, err error) {
+	e.daemon.logger.Info("body not read", "error", err)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: relayer.ReasonTooLarge, NotRun: true})
+		return
+	}
+	panic(http.ErrAbortHandler) // The caller has left or sent no whole request.
+}
+
+// shutdown lets the balancer take the daemon out, then waits for open requests.
+func (e *edge) shutdown() error {
+	deadline := time.Now().Add(e.daemon.settings.Hosted.StopBound - stopMargin)
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for e.open.Load() > 0 && waiter.Pause(ctx, 50*time.Millisecond) {
+		// Requests go on.
+	}
+	err := errors.Join(e.callers.Close(), e.ready.Close())
+	e.group.Wait()
+	return err
+}
+
+// idleConnections closes callers' connections that are idle for longer than the configuration
+// allows.
+type idleConnections struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+}
+
+func (i *idleConnections) note(conn net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if state == http.StateIdle {
+		i.since[conn] = time.Now()
+		return
+	}
+	delete(i.since, conn)
+}
+
+// closeOlder closes the connections that are idle for longer than the bound.
+func (i *idleConnections) closeOlder(bound time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for conn, since := range i.since {
+		if time.Since(since) > bound {
+			_ = conn.Close() // The server notices.
+			delete(i.since, conn)
+		}
+	}
+}
--- a/cmd/rilld/main.go
+++ b/cmd/rilld/main.go
@@ -17,7 +17,7 @@
 	command := &cli.Command{
 		Name:     "rilld",
 		Usage:    "the daemon of an entry host",
-		Commands: []*cli.Command{serveCommand(), checkCommand(), settingsCommand()},
+		Commands: []*cli.Command{serveCommand(), frontCommand(), checkCommand(), settingsCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "rilld:", err)
--- /dev/null
+++ b/connector/socket.go
@@ -0,0 +1,56 @@
+package connector
+
+import (
+	"errors"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unacknowledgedMS is how long sent bytes may stay unacknowledged before the connection ends.
+	unacknowledgedMS = 1500
+	// probeIdleSeconds, probeIntervalSeconds and probeCount let an idle peer that has vanished be
+	// noticed within three seconds.
+	probeIdleSeconds     = 1
+	probeIntervalSeconds = 1
+	probeCount           = 2
+)
+
+// watchSilence makes the kernel end a connection whose other side has vanished.
+func watchSilence(_, _ string, raw syscall.RawConn) (err error) {
+	controlled := raw.Control(func(fd uintptr) {
+		socket := int(fd)
+		err = errors.Join(
+			unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
+			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdleSeconds),
+			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeIntervalSeconds),
+			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount),
+			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unacknowledgedMS),
+		)
+	})
+	return errors.Join(controlled, err)
+}
+
+// quiet says whether an idle connection is open and has nothing to be read.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -29,13 +29,15 @@
 	return &Budget{settings: settings, level: settings.Burst}
 }
 
-func (b *Budget) deposit() {
+// Deposit pays for an admitted call.
+func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.level = min(b.level+b.settings.Ratio, b.settings.Burst)
 }
 
-func (b *Budget) withdraw() bool {
+// Withdraw asks for one retry.
+func (b *Budget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.level < 1 {
@@ -44,3 +46,12 @@
 	b.level--
 	return true
 }
+
+// SetBurst changes how many retries may be saved up, such as when the number of daemons that share
+// a budget changes.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings.Burst = burst
+	b.level = min(b.level, burst)
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -136,7 +136,7 @@
 	if err := l.await(ctx, w); err != nil {
 		return nil, err
 	}
-	l.retries.deposit()
+	l.retries.Deposit()
 	return sync.OnceFunc(func() { l.release(w) }), nil
 }
 
@@ -258,7 +258,7 @@
 }
 
 // Retry reports whether a call may be sent again, and draws on the budget for it.
-func (l *Limiter) Retry() bool { return l.retries.withdraw() }
+func (l *Limiter) Retry() bool { return l.retries.Withdraw() }
 
 // Queued returns the number of waiting calls.
 func (l *Limiter) Queued() int {
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -127,6 +127,37 @@
 	}
 }
 
+func hostedFields() []field {
+	return []field{
+		addressField("ready_listen", "Where the platform asks at /readyz whether the daemon takes requests.",
+			func(s *Settings) *netip.AddrPort { return &s.Hosted.ReadyListen }),
+		addressField("metrics_listen", "Where /metrics is served.",
+			func(s *Settings) *netip.AddrPort { return &s.Hosted.MetricsListen }),
+		bytesField("memory_bytes", "Memory of the process.",
+			func(s *Settings) *int { return &s.Hosted.MemoryBytes }),
+		durationField("stop_bound", "Time from the signal to stop until the process is killed.",
+			func(s *Settings) *time.Duration { return &s.Hosted.StopBound }),
+		durationField("key_revocation", "Time after which a key that was taken away works nowhere.",
+			func(s *Settings) *time.Duration { return &s.Hosted.KeyRevocation }),
+		durationField("configuration_spread", "Time after which an accepted configuration is in force everywhere.",
+			func(s *Settings) *time.Duration { return &s.Hosted.ConfigurationSpread }),
+		durationField("weights_spread", "Time after which no request begins on replaced weights.",
+			func(s *Settings) *time.Duration { return &s.Hosted.WeightsSpread }),
+		durationField("lease_time", "Time between the orders of two holders of a duty.",
+			func(s *Settings) *time.Duration { return &s.Hosted.LeaseTime }),
+		{
+			name: "retry_ratio", form: "number from 0 to 1",
+			meaning: "Repetitions of all daemons as a share of the requests.",
+			read:    func(node locator.Node, s *Settings) { s.Hosted.RetryRatio, _ = node.Float(0, 1) },
+			show:    func(s *Settings) string { return fmt.Sprint(s.Hosted.RetryRatio) },
+		},
+		numberField("retry_burst", "Repetitions of all daemons beside that share, within retry_window.",
+			func(s *Settings) *int { return &s.Hosted.RetryBurst }),
+		durationField("retry_window", "Time over which repetitions are counted.",
+			func(s *Settings) *time.Duration { return &s.Hosted.RetryWindow }),
+	}
+}
+
 func readEndpoint(node locator.Node, s *Settings) {
 	text, ok := node.Text()
 	if !ok {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -66,6 +66,8 @@
 
 	Log       Log
 	Telemetry Telemetry
+	// Hosted is for a daemon that runs on a hosting platform, by rilld front.
+	Hosted Hosted
 	// FirstConfigurationFile is committed where the platform holds no configuration at all.
 	FirstConfigurationFile string
 }
@@ -92,6 +94,31 @@
 	DefaultDeadline time.Duration
 }
 
+// Hosted sets what a daemon on a hosting platform keeps to.
+type Hosted struct {
+	// ReadyListen answers whether the daemon takes requests.
+	ReadyListen netip.AddrPort
+	// MetricsListen serves the metrics.
+	MetricsListen netip.AddrPort
+	// MemoryBytes is the memory of the process.
+	MemoryBytes int
+	// StopBound is the time from the signal to stop until the process is killed.
+	StopBound time.Duration
+	// KeyRevocation is the time after which a key that was taken away must not work anywhere.
+	KeyRevocation time.Duration
+	// ConfigurationSpread is the time after which an accepted configuration is in force.
+	ConfigurationSpread time.Duration
+	// WeightsSpread is the time after which no request may begin on replaced weights.
+	WeightsSpread time.Duration
+	// LeaseTime is the time between the orders of two holders of a duty.
+	LeaseTime time.Duration
+	// RetryRatio and RetryBurst bound repetitions of all daemons together: a share of the requests
+	// and a number beside it, within RetryWindow.
+	RetryRatio  float64
+	RetryBurst  int
+	RetryWindow time.Duration
+}
+
 // LogFormat is the form of log lines.
 type LogFormat string
 
@@ -134,6 +161,19 @@
 			MaxLoads:        2,
 			DefaultDeadline: 2 * time.Minute,
 		},
+		Hosted: Hosted{
+			ReadyListen:         netip.MustParseAddrPort("0.0.0.0:8083"),
+			MetricsListen:       netip.MustParseAddrPort("127.0.0.1:8084"),
+			MemoryBytes:         256 << 20,
+			StopBound:           8 * time.Second,
+			KeyRevocation:       5 * time.Second,
+			ConfigurationSpread: 2 * time.Second,
+			WeightsSpread:       10 * time.Second,
+			LeaseTime:           3 * time.Second,
+			RetryRatio:          0.2,
+			RetryBurst:          50,
+			RetryWindow:         10 * time.Second,
+		},
 		LeaveNotice: 5 * time.Second,
 		DrainBound:  5 * time.Minute,
 		Log:         Log{Level: slog.LevelInfo, Format: LogText},
--- a/loader/table.go
+++ b/loader/table.go
@@ -70,6 +70,7 @@
 		{"limits", limitFields()},
 		{"log", logFields()},
 		{"telemetry", telemetryFields()},
+		{"hosted", hostedFields()},
 	}
 }
 
--- /dev/null
+++ b/placer/flight.go
@@ -0,0 +1,112 @@
+package placer
+
+import (
+	"sync"
+	"time"
+)
+
+// Flight is one attempt at a target from its choice to its end.
+type Flight struct {
+	placer *Placer
+	target *target
+	model  string
+	work   work
+	alone  bool
+	began  time.Time
+
+	mu      sync.Mutex
+	started bool
+	ended   bool
+}
+
+func (p *Placer) begin(call Call, best candidate, now time.Time) *Flight {
+	t := best.target
+	f := &Flight{
+		placer: p, target: t, model: call.Model, began: now,
+		work: work{requests: 1, unread: best.read, held: call.PromptTokens + call.OutputTokens},
+	}
+	f.alone = p.load(t).unread == 0 && best.fetched == 0
+	t.own.add(f.work)
+	bound := int(cacheShare * float64(p.engines[call.Service].CacheTokens))
+	for i, key := range call.keys(best.version) {
+		t.cached.use(key, call.Parts[i].Tokens, bound)
+	}
+	return f
+}
+
+// load is the work of this daemon and its peers at a target.
+func (p *Placer) load(t *target) work {
+	total := t.own
+	for _, peer := range p.peers {
+		total.add(peer.work[t.ID])
+	}
+	return total
+}
+
+// Started notes the first event: the prompt is read.
+func (f *Flight) Started() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.started || f.ended {
+		return
+	}
+	f.started = true
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f.target.own.unread -= f.work.unread
+	f.target.breaks = 0
+	if f.alone {
+		f.target.measure(f.work.unread, p.settings.Now().Sub(f.began))
+	}
+}
+
+// Finished ends the flight, however it went. It may be called more than once.
+func (f *Flight) Finished() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return
+	}
+	f.ended = true
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ended := f.work
+	if f.started {
+		ended.unread = 0
+	}
+	f.target.own.add(work{requests: -ended.requests, unread: -ended.unread, held: -ended.held})
+}
+
+// Shed notes that the target refused the request without running it.
+func (f *Flight) Shed() {
+	f.note(func(t *target, now time.Time) { t.shedUntil = now.Add(shedPause) })
+}
+
+// Broke notes that the connection to the target broke or could not be made.
+func (f *Flight) Broke() {
+	f.note((*target).broke)
+}
+
+// Left notes that the target takes no more work, or is not the one that was meant.
+func (f *Flight) Left() {
+	f.note(func(t *target, _ time.Time) { t.left = true })
+}
+
+// SawVersion notes the weights that the target named.
+func (f *Flight) SawVersion(version int64) {
+	f.note(func(t *target, _ time.Time) { t.sawVersion(f.model, version) })
+}
+
+// SawLoad notes how many requests the target has in hand.
+func (f *Flight) SawLoad(requests int) {
+	f.note(func(t *target, now time.Time) { t.running, t.reported = requests, now })
+}
+
+func (f *Flight) note(change func(t *target, now time.Time)) {
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(f.target, p.settings.Now())
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,184 @@
+// Package placer chooses the target of a request for which callers name the parts of the prompt.
+//
+// It knows the targets, what each is expected to hold in its cache, how much work the daemon and
+// its peers have there, and which targets are about to be changed. It estimates when a target
+// would give the first event and takes the earliest, so that a prompt goes where most of it is
+// cached unless that target is busy. Parts that another target holds are fetched from there, which
+// takes a small part of the time that reading them takes.
+//
+// The package has no network and no goroutines. Time is given to it.
+//
+// # Usage
+//
+//	p := placer.New(placer.Settings{DataCentre: "north", Now: time.Now})
+//	p.SetTargets(targets)
+//	choice, err := p.Choose(call, nil)
+//	var none *placer.NoTargetError
+//	if errors.As(err, &none) {
+//		// Refuse, and tell the caller to come back after none.RetryAfter.
+//	}
+//	defer choice.Flight.Finished()
+package placer
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Target is one incarnation of a target as it describes itself.
+type Target struct {
+	ID         string
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Slots      int
+	// Started tells the incarnations of one id apart.
+	Started time.Time
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// Versions are the weights of each model.
+	Versions map[string]int64
+}
+
+// Part is a piece of a prompt that several requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Call is what is known of a request before it is sent.
+type Call struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Wall separates the cached parts of isolated accounts; it is empty for all others.
+	Wall string
+	// Parts are those of the prompt in their order. The last one belongs to the request alone.
+	Parts        []Part
+	PromptTokens int
+	OutputTokens int
+}
+
+// Choice is the target of one attempt.
+type Choice struct {
+	Target Target
+	// Version is the weights that the target is believed to have; zero for plain services.
+	Version int64
+	// FetchFrom holds more of the prompt than the target; it is invalid where nobody does.
+	FetchFrom netip.AddrPort
+	// Expected is the estimated time to the first event.
+	Expected time.Duration
+	Flight   *Flight
+}
+
+// NoTargetError says that no target can take the call now.
+type NoTargetError struct {
+	Service string
+	// RetryAfter is when a target is expected to have room.
+	RetryAfter time.Duration
+}
+
+// Error names the service.
+func (e *NoTargetError) Error() string {
+	return "no target of service " + e.Service + " can take the call"
+}
+
+// Settings are the parameters of a Placer.
+type Settings struct {
+	// DataCentre is that of the daemon.
+	DataCentre string
+	Now        func() time.Time
+	// VersionBound is how long a target may begin requests on replaced weights.
+	VersionBound time.Duration
+}
+
+// Engine describes the engines of a service.
+type Engine struct {
+	CacheTokens       int
+	TokenBytes        int
+	LinkBitsPerSecond float64
+}
+
+// wanted are the weights that a model is to have.
+type wanted struct {
+	version int64
+	since   time.Time
+}
+
+// Placer chooses targets. Its methods are safe for concurrent use.
+type Placer struct {
+	settings Settings
+
+	mu       sync.Mutex
+	targets  map[string]*target
+	engines  map[string]Engine
+	wanted   map[string]wanted
+	services map[string][]*target
+	peers    map[string]peer
+}
+
+// New returns a Placer without targets.
+func New(settings Settings) *Placer {
+	return &Placer{
+		settings: settings,
+		targets:  make(map[string]*target),
+		engines:  make(map[string]Engine),
+		wanted:   make(map[string]wanted),
+		services: make(map[string][]*target),
+		peers:    make(map[string]peer),
+	}
+}
+
+// SetTargets replaces the targets. A target that starts anew loses all that was known of it.
+func (p *Placer) SetTargets(targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.targets
+	p.targets = make(map[string]*target, len(targets))
+	p.services = make(map[string][]*target)
+	for _, described := range targets {
+		known := before[described.ID]
+		if known == nil || !known.Started.Equal(described.Started) || known.Address != described.Address {
+			known = newTarget(described)
+		}
+		known.describe(described)
+		p.targets[described.ID] = known
+		p.services[described.Service] = append(p.services[described.Service], known)
+	}
+}
+
+// SetEngines tells what the engines of each service are like.
+func (p *Placer) SetEngines(engines map[string]Engine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines = engines
+}
+
+// Want notes the newest weights of a model. Older ones than those known are ignored.
+func (p *Placer) Want(model string, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version > p.wanted[model].version {
+		p.wanted[model] = wanted{version: version, since: p.settings.Now()}
+	}
+}
+
+// Wanted returns the newest weights of a model.
+func (p *Placer) Wanted(model string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wanted[model].version
+}
+
+// Targets returns the targets of all services that are not leaving, as they are known now.
+func (p *Placer) Targets() (targets []Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.targets {
+		if !known.Leaving {
+			targets = append(targets, known.snapshot())
+		}
+	}
+	return targets
+}
--- /dev/null
+++ b/placer/target.go
@@ -0,0 +1,106 @@
+package placer
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// defaultReadRate is the rate at which an engine reads a prompt, in tokens a second, before
+	// any was measured.
+	defaultReadRate = 45_000
+	// shedPause is how long a target that refused a request is left alone.
+	shedPause = 150 * time.Millisecond
+	// brokenPause is how long a target that broke a connection is left alone; each further one
+	// doubles it up to longestBrokenPause.
+	brokenPause        = 300 * time.Millisecond
+	longestBrokenPause = 4 * time.Second
+	// readRateGain is the weight of a new measurement of the read rate.
+	readRateGain = 0.2
+	// measuredTokens is the smallest prompt whose reading tells the read rate.
+	measuredTokens = 3000
+)
+
+// work is what requests still need at a target.
+type work struct {
+	// requests counts the requests that have not ended.
+	requests int
+	// unread counts prompt tokens of requests that have not given their first event.
+	unread int
+	// held counts tokens of memory of all requests that have not ended.
+	held int
+}
+
+func (w *work) add(other work) {
+	w.requests += other.requests
+	w.unread += other.unread
+	w.held += other.held
+}
+
+// target is what is known of one incarnation.
+type target struct {
+	Target
+	own      work
+	cached   *parts
+	readRate float64
+
+	// left says that answers showed the incarnation to be gone, whatever its description says.
+	left bool
+	// updatingUntil is when an announced change of weights is over at the latest.
+	updatingUntil time.Time
+	shedUntil     time.Time
+	brokenUntil   time.Time
+	breaks        int
+	// running is what the target last said of its running and waiting requests.
+	running  int
+	reported time.Time
+}
+
+func newTarget(described Target) *target {
+	return &target{Target: described, cached: newParts(), readRate: defaultReadRate}
+}
+
+// describe takes over what the target says of itself. Versions only grow: the description lags
+// behind answers.
+func (t *target) describe(described Target) {
+	versions := maps.Clone(t.Versions)
+	t.Target = described
+	t.Versions = maps.Clone(described.Versions)
+	if t.Versions == nil {
+		t.Versions = make(map[string]int64)
+	}
+	for model, version := range versions {
+		if version > t.Versions[model] {
+			t.Versions[model] = version
+		}
+	}
+}
+
+func (t *target) snapshot() Target {
+	copied := t.Target
+	copied.Versions = maps.Clone(t.Versions)
+	return copied
+}
+
+// sawVersion notes weights that an answer named.
+func (t *target) sawVersion(model string, version int64) {
+	if version > t.Versions[model] {
+		t.Versions[model] = version
+		t.cached.clear()
+		t.updatingUntil = time.Time{}
+	}
+}
+
+func (t *target) broke(now time.Time) {
+	pause := min(brokenPause<<min(t.breaks, 4), longestBrokenPause)
+	t.breaks++
+	t.brokenUntil = now.Add(pause)
+}
+
+// measure learns the read rate from a prompt that waited behind no other.
+func (t *target) measure(tokens int, took time.Duration) {
+	if tokens < measuredTokens || took <= 0 {
+		return
+	}
+	t.readRate += readRateGain * (float64(tokens)/took.Seconds() - t.readRate)
+}
--- /dev/null
+++ b/relayer/refusal.go
@@ -0,0 +1,63 @@
+package relayer
+
+import (
+	"net/http"
+	"time"
+)
+
+// Reason says why a request was refused or failed.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoConfiguration Reason = "no_configuration"
+	ReasonNoContact       Reason = "no_contact"
+	ReasonNoRoute         Reason = "no_route"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonMalformed       Reason = "malformed"
+	ReasonTooLarge        Reason = "too_large"
+	ReasonNoTarget        Reason = "no_target"
+	ReasonNotInTime       Reason = "not_in_time"
+	ReasonShed            Reason = "shed"
+	ReasonUnreachable     Reason = "unreachable"
+	ReasonCrashesTargets  Reason = "crashes_targets"
+	ReasonBroken          Reason = "broken"
+	ReasonDeadline        Reason = "deadline"
+)
+
+// Refusal is what a caller is told instead of a target's answer.
+type Refusal struct {
+	Status int
+	Reason Reason
+	// NotRun says that no target has run the request or will.
+	NotRun bool
+	// RetryAfter is when the caller should come back; zero says nothing.
+	RetryAfter time.Duration
+	// CloseConnection sends the caller to another daemon.
+	CloseConnection bool
+}
+
+const (
+	// settleTime is when a daemon that knows no configuration is expected to know one.
+	settleTime = 300 * time.Millisecond
+	// contactRetry lets a caller come back through another daemon.
+	contactRetry = 50 * time.Millisecond
+)
+
+func notRun(reason Reason, retryAfter time.Duration) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, NotRun: true, RetryAfter: retryAfter}
+}
+
+func elsewhere(reason Reason, retryAfter time.Duration) *Refusal {
+	refusal := notRun(reason, retryAfter)
+	refusal.CloseConnection = true
+	return refusal
+}
+
+func denied(status int, reason Reason) *Refusal {
+	return &Refusal{Status: status, Reason: reason, NotRun: true}
+}
+
+func failed(status int, reason Reason) *Refusal {
+	return &Refusal{Status: status, Reason: reason}
+}
--- /dev/null
+++ b/upgrader/change.go
@@ -0,0 +1,103 @@
+package upgrader
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/waiter"
+)
+
+const (
+	// drainPause is the time between the announcement of a change and its order, in which the
+	// daemons stop sending and the engine finishes what waits there.
+	drainPause = 350 * time.Millisecond
+	// pollPause is the time between two reports of a changing engine.
+	pollPause = 150 * time.Millisecond
+	// callTimeout bounds one call to an engine.
+	callTimeout = 700 * time.Millisecond
+	// repeatAfter is when an order without an effect is given again.
+	repeatAfter = 900 * time.Millisecond
+)
+
+// change brings one target to new weights.
+func (u *Upgrader) change(ctx context.Context, c Candidate) {
+	started := time.Now()
+	version, result := u.carryOut(ctx, c)
+	u.settings.Logger.Info("engine changed", "target", c.Target.ID, "model", c.Model, "from", c.Has,
+		"to", version, "wanted", c.Wanted, "result", result, "took_ms", time.Since(started).Milliseconds())
+	if version >= c.Wanted {
+		u.settings.Places.Updated(c.Target.ID, c.Model, version)
+	} else {
+		u.settings.Places.Updating(c.Target.ID, time.Time{})
+	}
+	u.mu.Lock()
+	delete(u.changing, c.Target.ID)
+	if version > 0 {
+		u.done[c.Target.ID] = done{model: c.Model, version: version, at: time.Now()}
+	}
+	u.dirty = true
+	u.mu.Unlock()
+	u.Wake()
+}
+
+// carryOut orders and follows the change until the engine has the weights, and returns those that
+// it is known to have; zero where it is not known.
+func (u *Upgrader) carryOut(ctx context.Context, c Candidate) (version int64, result string) {
+	if !waiter.Pause(ctx, drainPause) {
+		return 0, "stopped"
+	}
+	var ordered time.Time
+	deadline := time.Now().Add(longestChange)
+	for time.Now().Before(deadline) {
+		report, err := u.report(ctx, c)
+		switch {
+		case err != nil:
+			// The engine may be starting again; the deadline bounds the wait.
+		case report.Versions[c.Model] >= c.Wanted && !report.Busy:
+			return report.Versions[c.Model], "changed"
+		case !report.Busy && time.Since(ordered) > repeatAfter:
+			if outcome := u.order(ctx, c, report); outcome != ResultAccepted && outcome != ResultConflict {
+				return report.Versions[c.Model], "refused"
+			}
+			ordered = time.Now()
+		}
+		if !u.holding() {
+			return 0, "duty lost"
+		}
+		if !waiter.Pause(ctx, pollPause) {
+			return 0, "stopped"
+		}
+	}
+	return 0, "not in time"
+}
+
+func (u *Upgrader) report(ctx context.Context, c Candidate) (report Report, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return u.settings.Engines.Report(ctx, c.Target)
+}
+
+// order gives one order, if the duty is certain to be this daemon's.
+func (u *Upgrader) order(ctx context.Context, c Candidate, report Report) Result {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !u.holding() {
+		return ResultFenced
+	}
+	u.mu.Lock()
+	fence := u.fence
+	u.mu.Unlock()
+	wanted := max(u.settings.Places.Wanted(c.Model), c.Wanted)
+	result, err := u.settings.Engines.Order(ctx, c.Target, Order{
+		Model: c.Model, Version: wanted, Holder: u.settings.Name, Fence: fence, Accepted: report.Accepted,
+	})
+	u.settings.Logger.Info("order given", "target", c.Target.ID, "model", c.Model, "version", wanted,
+		"fence", fence, "accepted_before", report.Accepted, "result", int(result), "error", err)
+	if err != nil {
+		return ResultConflict // It may be carried out; the reports tell.
+	}
+	if result == ResultFenced {
+		u.standDown("an engine has seen a newer holder")
+	}
+	return result
+}
--- /dev/null
+++ b/upgrader/upgrader.go
@@ -0,0 +1,352 @@
+// Package upgrader brings the engines to the weights that operators want, a few at a time.
+//
+// One daemon does it for all: the one that holds the duty's key on the platform's store, bound to
+// its lease. The key's version is the fencing token of its orders. Before an engine is ordered to
+// change, all daemons are told through the store, so that they send their requests elsewhere.
+//
+// # Usage
+//
+//	u := upgrader.New(upgrader.Settings{Store: store, Lease: leaser, Engines: engines, Places: placer})
+//	u.Start(ctx)
+//	defer u.Close()
+//	// The follower of KeyPrefix feeds the upgrader of every daemon.
+//	u.Reset(items, false)
+package upgrader
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+)
+
+const (
+	// KeyPrefix is where the duty keeps its keys.
+	KeyPrefix = "rill/weights/"
+
+	holderKey = KeyPrefix + "holder"
+	// formerKey outlives its writer and names the daemon that held the duty last.
+	formerKey = KeyPrefix + "former"
+	planKey   = KeyPrefix + "plan"
+)
+
+// Report is what an engine says of its orders.
+type Report struct {
+	// Busy says that an order is in progress.
+	Busy bool
+	// Accepted counts the orders that the incarnation has accepted.
+	Accepted int64
+	Versions map[string]int64
+}
+
+// Order asks an engine for new weights.
+type Order struct {
+	Model   string
+	Version int64
+	// Holder names the daemon that gives the order.
+	Holder string
+	// Fence grows with each holder of the duty.
+	Fence storer.Version
+	// Accepted is the number of orders that the engine must have accepted before.
+	Accepted int64
+}
+
+// Result is an engine's answer to an order.
+type Result int
+
+// The results.
+const (
+	// ResultAccepted: the order is carried out, or holds already.
+	ResultAccepted Result = iota
+	// ResultConflict: another order is in progress, or the number of orders differs.
+	ResultConflict
+	// ResultFenced: the engine has seen a newer holder.
+	ResultFenced
+	// ResultRefused: the engine is another one, or does not know the weights.
+	ResultRefused
+)
+
+// Engines carries orders to engines.
+type Engines interface {
+	Report(ctx context.Context, target placer.Target) (Report, error)
+	Order(ctx context.Context, target placer.Target, order Order) (Result, error)
+}
+
+// Store is the part of the platform's store that an Upgrader needs.
+type Store interface {
+	Commit(ctx context.Context, transaction storer.Transaction) (storer.Version, error)
+}
+
+// Lease tells whether the daemon's lease holds.
+type Lease interface {
+	Held() (lease storer.LeaseID, held bool)
+}
+
+// Places knows the targets and what is wanted of them.
+type Places interface {
+	Targets() []placer.Target
+	Wanted(model string) int64
+	Updating(id string, until time.Time)
+	Updated(id, model string, version int64)
+}
+
+// Settings are the parameters of an Upgrader.
+type Settings struct {
+	Name    string
+	Store   Store
+	Lease   Lease
+	Engines Engines
+	Places  Places
+	Logger  *slog.Logger
+	// TakeOver is how long a new holder waits for orders of the one before to have arrived.
+	TakeOver time.Duration
+	// Rank spreads the attempts of the daemons to take the duty, from 0 to 1.
+	Rank float64
+}
+
+// Upgrader is the part of one daemon in the duty.
+type Upgrader struct {
+	settings Settings
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+	orders   conc.WaitGroup
+	wake     chan struct{}
+
+	mu sync.Mutex
+	// seen are the duty's keys as the store shows them.
+	seen   map[string]storer.Item
+	synced bool
+	// lost is since when no holder is seen.
+	lost time.Time
+	// fence is the version of the duty's key while this daemon holds it.
+	fence storer.Version
+	lease storer.LeaseID
+	// began is when this daemon may give its first order.
+	began clocker.Instant
+	// changing are the targets that are being changed.
+	changing map[string]change
+	done     map[string]done
+	dirty    bool
+	planned  map[string]bool
+}
+
+// change is one target on its way to new weights.
+type change struct {
+	target placer.Target
+	model  string
+}
+
+// done is a change that has ended.
+type done struct {
+	model   string
+	version int64
+	at      time.Time
+}
+
+// New returns an Upgrader that has not started.
+func New(settings Settings) *Upgrader {
+	return &Upgrader{
+		settings: settings,
+		cancel:   func() {},
+		wake:     make(chan struct{}, 1),
+		seen:     make(map[string]storer.Item),
+		changing: make(map[string]change),
+		done:     make(map[string]done),
+		planned:  make(map[string]bool),
+	}
+}
+
+// Start takes part in the duty until Close or the end of ctx.
+func (u *Upgrader) Start(ctx context.Context) {
+	ctx, u.cancel = context.WithCancel(ctx)
+	u.tasks.Go(func() { u.run(ctx) })
+}
+
+// Close gives no more orders and waits for those on their way.
+func (u *Upgrader) Close() error {
+	u.cancel()
+	u.tasks.Wait()
+	u.orders.Wait()
+	return nil
+}
+
+// Wake looks for work at once, such as after new weights were named.
+func (u *Upgrader) Wake() {
+	select {
+	case u.wake <- struct{}{}:
+	default:
+	}
+}
+
+// idleInterval is how often the duty is looked at without a reason.
+const idleInterval = 400 * time.Millisecond
+
+func (u *Upgrader) run(ctx context.Context) {
+	timer := time.NewTicker(idleInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-u.wake:
+		}
+		u.step(ctx)
+	}
+}
+
+// step takes the duty where nobody has it, and gives the next orders where this daemon has it.
+func (u *Upgrader) step(ctx context.Context) {
+	if !u.leaseStands() {
+		u.standDown("the lease has ended")
+	}
+	if u.vacant() {
+		u.take(ctx)
+	}
+	if !u.holding() {
+		return
+	}
+	for _, next := range u.next() {
+		u.orders.Go(func() { u.change(ctx, next) })
+	}
+	u.publish(ctx)
+}
+
+// leaseStands says whether the lease under which the duty was taken still holds.
+func (u *Upgrader) leaseStands() bool {
+	lease, held := u.settings.Lease.Held()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.fence == 0 || held && lease == u.lease
+}
+
+// holding says whether this daemon may give orders now.
+func (u *Upgrader) holding() bool {
+	lease, held := u.settings.Lease.Held()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return held && lease == u.lease && u.fence != 0 && !clocker.Now().Before(u.began)
+}
+
+const (
+	// vacantPause and rankPause delay the attempts of daemons to take the duty, so that mostly one
+	// tries.
+	vacantPause = 100 * time.Millisecond
+	rankPause   = 600 * time.Millisecond
+)
+
+// vacant says whether nobody has the duty and it is this daemon's turn to try.
+func (u *Upgrader) vacant() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.synced || u.fence != 0 {
+		return false
+	}
+	if _, taken := u.seen[holderKey]; taken {
+		u.lost = time.Time{}
+		return false
+	}
+	if u.lost.IsZero() {
+		u.lost = time.Now()
+	}
+	return time.Since(u.lost) >= vacantPause+time.Duration(u.settings.Rank*float64(rankPause))
+}
+
+// take tries to become the holder.
+func (u *Upgrader) take(ctx context.Context) {
+	lease, held := u.settings.Lease.Held()
+	if !held {
+		return
+	}
+	u.mu.Lock()
+	former, known := u.seen[formerKey]
+	u.lost = time.Time{}
+	u.mu.Unlock()
+	version, err := u.settings.Store.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: holderKey}},
+		Puts: []storer.Put{
+			{Key: holderKey, Value: []byte(u.settings.Name), Lease: lease},
+			{Key: formerKey, Value: []byte(u.settings.Name)},
+		},
+	})
+	var conflict *storer.ConflictError
+	if errors.As(err, &conflict) {
+		return // Another daemon was first.
+	}
+	if err != nil {
+		u.settings.Logger.Warn("duty not taken", "error", err)
+		return
+	}
+	wait := time.Duration(0)
+	if known && string(former.Value) != u.settings.Name {
+		wait = u.settings.TakeOver
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fence, u.lease, u.began = version, lease, clocker.Now().Add(wait)
+	u.settings.Logger.Info("duty taken", "fence", version, "former", string(former.Value), "first_order_after", wait)
+}
+
+// standDown gives the duty up in this daemon's mind; the store drops the key with the lease.
+func (u *Upgrader) standDown(reason string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.fence != 0 {
+		u.settings.Logger.Info("duty lost", "fence", u.fence, "reason", reason)
+	}
+	u.fence = 0
+}
+
+// Reset takes over all keys of the duty.
+func (u *Upgrader) Reset(items []storer.Item, _ bool) {
+	u.mu.Lock()
+	clear(u.seen)
+	for _, item := range items {
+		u.seen[item.Key] = item
+	}
+	u.synced = true
+	u.mu.Unlock()
+	u.react()
+}
+
+// Change takes over changes of the duty's keys.
+func (u *Upgrader) Change(events []storer.Event, _ bool) {
+	u.mu.Lock()
+	for _, event := range events {
+		if event.Item.Version < u.seen[event.Item.Key].Version {
+			continue
+		}
+		if event.Kind == storer.EventDelete {
+			delete(u.seen, event.Item.Key)
+			continue
+		}
+		u.seen[event.Item.Key] = event.Item
+	}
+	u.mu.Unlock()
+	u.react()
+}
+
+// react follows the keys: it stands down where another daemon holds the duty, and keeps requests
+// away from the targets of the plan.
+func (u *Upgrader) react() {
+	u.mu.Lock()
+	holder, taken := u.seen[holderKey]
+	plan := u.seen[planKey]
+	fence := u.fence
+	u.mu.Unlock()
+	if fence != 0 && taken && holder.Version > fence {
+		u.standDown("another daemon has taken it")
+		fence = 0
+	}
+	if fence == 0 && taken {
+		u.follow(plan.Value)
+	}
+	u.Wake()
+}
