broadcaster, placer: daemons tell each other load and holdings

Change: a datagram every 50 ms with the daemon's work by target and the parts it sent; each naming of weights is kept with its time.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -17,12 +17,14 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/follower"
@@ -51,8 +53,12 @@
 	memoryShare = 0.6
 	// collectorPercent trades processor time for memory.
 	collectorPercent = 50
+	// daemonsPrefix holds all keys of the daemons.
+	daemonsPrefix = "rill/"
 	// hostsPrefix is where daemons say that they run.
 	hostsPrefix = "rill/hosts/"
+	// namedBefore is how long weights are taken to have been named when a daemon starts.
+	namedBefore = 4 * time.Second
 )
 
 // Settings are the parameters of a Daemon.
@@ -66,6 +72,7 @@
 type knowledge struct {
 	declarations *tracker.Declarations
 	targets      *tracker.Targets
+	peers        *tracker.Peers
 	followers    []*follower.Follower
 	contact      *follower.Follower
 	places       *placer.Placer
@@ -92,6 +99,8 @@
 	knowledge *knowledge
 	duties    duties
 	edge      *edge
+	peers     *broadcaster.Broadcaster
+	started   time.Time
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
 }
@@ -109,10 +118,17 @@
 		logger:   slog.New(slog.NewJSONHandler(settings.LogOutput, &slog.HandlerOptions{Level: settings.Log.Level})),
 		store:    platform.NewStore(settings.Platform[0]),
 		targets:  connector.New(connector.Settings{}),
+		started:  time.Now(),
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.knowledge = d.newKnowledge()
 	d.duties = d.newDuties()
+	d.peers, err = broadcaster.New(broadcaster.Settings{
+		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge.places, Logger: d.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
 	d.follow()
 	if d.edge, err = d.newEdge(); err != nil {
 		d.cancel()
@@ -139,7 +155,7 @@
 		},
 		Wanted: func(weights tracker.Weights) {
 			d.logger.Info("weights wanted", "model", weights.Model, "version", weights.Version)
-			k.places.Want(weights.Model, weights.Version)
+			k.places.Want(weights.Model, weights.Version, d.namedAt())
 			d.duties.upgrader.Wake()
 		},
 		Logger: d.logger,
@@ -147,9 +163,22 @@
 	k.targets = tracker.NewTargets(tracker.TargetSettings{
 		Decode: platform.DecodeTarget, Changed: k.places.SetTargets, Logger: d.logger,
 	})
+	k.peers = tracker.NewPeers(tracker.PeersSettings{
+		Own: d.settings.PeersAdvertise, Logger: d.logger,
+		Changed: func(peers []netip.AddrPort) { d.peers.SetPeers(peers) },
+	})
 	return k
 }
 
+// namedAt is since when weights are wanted that the daemon has just read. What it reads at its start
+// may have been named long before.
+func (d *Daemon) namedAt() time.Time {
+	if time.Since(d.started) < time.Second {
+		return time.Now().Add(-namedBefore)
+	}
+	return time.Now()
+}
+
 func (d *Daemon) newDuties() duties {
 	lease := leaser.New(leaser.Settings{
 		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.logger,
@@ -167,7 +196,7 @@
 	for _, settings := range []follower.Settings{
 		{Prefix: platform.DeclarationsPrefix, Sink: k.declarations, Wait: declarationsWait},
 		{Prefix: platform.TargetsPrefix, Sink: k.targets, Wait: targetsWait},
-		{Prefix: upgrader.KeyPrefix, Sink: d.duties.upgrader, Wait: dutyWait},
+		{Prefix: daemonsPrefix, Sink: tracker.Split{upgrader.KeyPrefix: d.duties.upgrader, hostsPrefix: k.peers}, Wait: dutyWait},
 	} {
 		settings.Store, settings.Logger = d.store, d.logger
 		k.followers = append(k.followers, follower.New(settings))
@@ -193,6 +222,7 @@
 	}
 	group.Add(d.knowledge.targets.Close())
 	group.Add(d.duties.lease.Close())
+	group.Add(d.peers.Close())
 	group.Add(d.targets.Close())
 	group.Add(d.store.Close())
 	d.logger.Info("daemon stopped", "error", cmp.Or(group.Err(), nil))
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -42,6 +42,7 @@
 	group   conc.WaitGroup
 	open    atomic.Int64
 	idle    idleConnections
+	stop    context.CancelFunc
 }
 
 func (d *Daemon) newEdge() (e *edge, err error) {
@@ -60,9 +61,21 @@
 	if err := e.listen(e.ready, d.settings.Hosted.ReadyListen); err != nil {
 		return nil, errors.Join(err, e.callers.Close())
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.group.Go(func() { e.closeIdle(ctx) })
 	return e, nil
 }
 
+// closeIdle closes callers' connections by the idle limit of the configuration in force.
+func (e *edge) closeIdle(ctx context.Context) {
+	for waiter.Pause(ctx, idleCheck) {
+		if catalog := e.daemon.knowledge.Catalog(); catalog != nil && catalog.Limits().IdleTimeout > 0 {
+			e.idle.closeOlder(catalog.Limits().IdleTimeout)
+		}
+	}
+}
+
 func (e *edge) listen(server *http.Server, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -135,6 +148,7 @@
 	for e.open.Load() > 0 && waiter.Pause(ctx, 50*time.Millisecond) {
 		// Requests go on.
 	}
+	e.stop()
 	err := errors.Join(e.callers.Close(), e.ready.Close())
 	e.group.Wait()
 	return err
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -98,15 +98,17 @@
 
 // fresh says whether the weights of a target may still begin requests.
 func (p *Placer) fresh(t *target, model string, now time.Time) bool {
-	newest := p.wanted[model]
-	return model == "" || t.Versions[model] >= newest.version ||
-		now.Sub(newest.since) < p.settings.VersionBound-versionMargin
+	if model == "" {
+		return true
+	}
+	since, replaced := p.wanted[model].replacedSince(t.Versions[model])
+	return !replaced || now.Sub(since) < p.settings.VersionBound-versionMargin
 }
 
 // estimate tells when the target would give the first event of the call.
 func (p *Placer) estimate(t *target, call Call, now time.Time) candidate {
 	c := candidate{target: t, version: t.Versions[call.Model]}
-	load := p.load(t)
+	load := t.load()
 	c.expected = time.Duration(max(load.requests, 0)) * runningCost
 	if over := load.requests + 1 - t.Slots; over > 0 {
 		c.expected += time.Duration(over) * slotCost
@@ -118,8 +120,7 @@
 		return c
 	}
 	p.estimatePrompt(&c, call, load)
-	newest := p.wanted[call.Model]
-	if c.version < newest.version && now.Sub(newest.since) > replacedGrace {
+	if since, replaced := p.wanted[call.Model].replacedSince(c.version); replaced && now.Sub(since) > replacedGrace {
 		c.expected += replacedCost
 	}
 	return c
@@ -139,12 +140,22 @@
 		c.read -= more
 		fetch = fetchOverhead + engine.transfer(more, holder.DataCentre != t.DataCentre)
 	}
-	c.expected += fetch + t.reading(load.unread+c.read)
+	c.expected += fetch + t.reading(load.unread+c.read+requestTokens(call))
 	if engine.CacheTokens > 0 && load.held+call.PromptTokens+call.OutputTokens > int(fullShare*float64(engine.CacheTokens)) {
 		c.expected += preemptionCost
 	}
 }
 
+// promptlessTokens is the work of a model call beside its prompt, in tokens read.
+const promptlessTokens = 400
+
+func requestTokens(call Call) int {
+	if call.Model == "" {
+		return 0
+	}
+	return promptlessTokens
+}
+
 func (t *target) reading(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / t.readRate * float64(time.Second))
 }
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -23,23 +23,26 @@
 	t := best.target
 	f := &Flight{
 		placer: p, target: t, model: call.Model, began: now,
-		work: work{requests: 1, unread: best.read, held: call.PromptTokens + call.OutputTokens},
+		work: work{requests: 1, unread: best.read + requestTokens(call), held: call.PromptTokens + call.OutputTokens},
 	}
-	f.alone = p.load(t).unread == 0 && best.fetched == 0
+	f.alone = t.load().unread == 0 && best.fetched == 0
 	t.own.add(f.work)
-	bound := int(cacheShare * float64(p.engines[call.Service].CacheTokens))
 	for i, key := range call.keys(best.version) {
-		t.cached.use(key, call.Parts[i].Tokens, bound)
+		t.cached.use(key, call.Parts[i].Tokens, p.cacheBound(call.Service))
+		p.tell(t, key, call.Parts[i].Tokens)
 	}
 	return f
 }
 
+// cacheBound is how many tokens of shared parts an engine of the service is expected to keep.
+func (p *Placer) cacheBound(service string) int {
+	return int(cacheShare * float64(p.engines[service].CacheTokens))
+}
+
 // load is the work of this daemon and its peers at a target.
-func (p *Placer) load(t *target) work {
+func (t *target) load() work {
 	total := t.own
-	for _, peer := range p.peers {
-		total.add(peer.work[t.ID])
-	}
+	total.add(t.peers)
 	return total
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -100,12 +100,33 @@
 	LinkBitsPerSecond float64
 }
 
-// wanted are the weights that a model is to have.
+// wanted are weights that a model was to have from some time on.
 type wanted struct {
 	version int64
 	since   time.Time
 }
 
+// versions are the wanted weights of a model, oldest first.
+type versions []wanted
+
+// newest returns the newest weights.
+func (v versions) newest() (newest wanted) {
+	if len(v) > 0 {
+		newest = v[len(v)-1]
+	}
+	return newest
+}
+
+// replacedSince returns since when weights are replaced by newer ones, and whether they are.
+func (v versions) replacedSince(version int64) (since time.Time, replaced bool) {
+	for _, named := range v {
+		if named.version > version {
+			return named.since, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Placer chooses targets. Its methods are safe for concurrent use.
 type Placer struct {
 	settings Settings
@@ -113,9 +134,12 @@
 	mu       sync.Mutex
 	targets  map[string]*target
 	engines  map[string]Engine
-	wanted   map[string]wanted
+	wanted   map[string]versions
 	services map[string][]*target
 	peers    map[string]peer
+	byHash   map[TargetHash]*target
+	// untold are parts that peers were not told of yet.
+	untold []Holding
 }
 
 // New returns a Placer without targets.
@@ -124,9 +148,10 @@
 		settings: settings,
 		targets:  make(map[string]*target),
 		engines:  make(map[string]Engine),
-		wanted:   make(map[string]wanted),
+		wanted:   make(map[string]versions),
 		services: make(map[string][]*target),
 		peers:    make(map[string]peer),
+		byHash:   make(map[TargetHash]*target),
 	}
 }
 
@@ -137,6 +162,7 @@
 	before := p.targets
 	p.targets = make(map[string]*target, len(targets))
 	p.services = make(map[string][]*target)
+	p.byHash = make(map[TargetHash]*target, len(targets))
 	for _, described := range targets {
 		known := before[described.ID]
 		if known == nil || !known.Started.Equal(described.Started) || known.Address != described.Address {
@@ -145,6 +171,11 @@
 		known.describe(described)
 		p.targets[described.ID] = known
 		p.services[described.Service] = append(p.services[described.Service], known)
+		p.byHash[known.hash] = known
+		known.peers = work{}
+	}
+	for _, known := range p.peers {
+		p.count(known.loads, 1)
 	}
 }
 
@@ -155,20 +186,27 @@
 	p.engines = engines
 }
 
-// Want notes the newest weights of a model. Older ones than those known are ignored.
-func (p *Placer) Want(model string, version int64) {
+// keptVersions bounds the wanted weights of a model that are remembered.
+const keptVersions = 16
+
+// Want notes weights that a model is to have from the given time on. Versions that are no newer
+// than those known are ignored.
+func (p *Placer) Want(model string, version int64, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version > p.wanted[model].version {
-		p.wanted[model] = wanted{version: version, since: p.settings.Now()}
+	known := p.wanted[model]
+	if version <= known.newest().version {
+		return
 	}
+	known = append(known, wanted{version: version, since: since})
+	p.wanted[model] = known[max(len(known)-keptVersions, 0):]
 }
 
 // Wanted returns the newest weights of a model.
 func (p *Placer) Wanted(model string) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.wanted[model].version
+	return p.wanted[model].newest().version
 }
 
 // Targets returns the targets of all services that are not leaving, as they are known now.
@@ -176,7 +214,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, known := range p.targets {
-		if !known.Leaving {
+		if !known.Leaving && !known.left {
 			targets = append(targets, known.snapshot())
 		}
 	}
--- a/placer/target.go
+++ b/placer/target.go
@@ -40,7 +40,10 @@
 // target is what is known of one incarnation.
 type target struct {
 	Target
-	own      work
+	hash TargetHash
+	own work
+	// peers is the work of all peers.
+	peers work
 	cached   *parts
 	readRate float64
 
@@ -57,7 +60,7 @@
 }
 
 func newTarget(described Target) *target {
-	return &target{Target: described, cached: newParts(), readRate: defaultReadRate}
+	return &target{Target: described, hash: hashOf(described), cached: newParts(), readRate: defaultReadRate}
 }
 
 // describe takes over what the target says of itself. Versions only grow: the description lags
