placer: what engines keep is estimated with their running work; parts go to and come from the store

Change: the median of the service's rates; all parts, also those of one request, take room; a shared part that is read is saved to the store and fetched from the quicker of holder and store.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -147,11 +147,13 @@
 	k := &knowledge{}
 	k.places = placer.New(placer.Settings{
 		DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
+		Seed: rand.Uint64(),
 	})
 	k.declarations = tracker.NewDeclarations(tracker.DeclarationsSettings{
 		Decode: decodeDeclared,
 		Accepted: func(catalog *cataloger.Catalog) {
 			k.places.SetEngines(engines(catalog))
+			k.places.SetStore(partStore(catalog))
 		},
 		Wanted: func(weights tracker.Weights) {
 			d.logger.Info("weights wanted", "model", weights.Model, "version", weights.Version)
--- a/assembler/translation.go
+++ b/assembler/translation.go
@@ -35,3 +35,12 @@
 	}
 	return described
 }
+
+// partStore is what the placer needs to know of the store of cached parts.
+func partStore(catalog *cataloger.Catalog) placer.Store {
+	store, found := catalog.CacheStore()
+	if !found {
+		return placer.Store{}
+	}
+	return placer.Store{Address: store.Address, CacheTokens: store.CacheTokens, LinkBitsPerSecond: store.LinkBitsPerSecond}
+}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// cacheShare is the part of an engine's memory that is expected to hold shared parts; running
-	// requests take the rest.
-	cacheShare = 0.75
+	// cacheShare is the part of an engine's memory that is counted on.
+	cacheShare = 0.95
 	// fullShare is the part of an engine's memory beyond which it may preempt requests.
 	fullShare = 0.8
 	// preemptionCost is added for an engine whose memory would be over fullShare.
@@ -48,6 +47,16 @@
 	read      int
 	fetched   int
 	fetchFrom netip.AddrPort
+	// fetchedFromStore says that the source is the store of cached parts.
+	fetchedFromStore bool
+	save             bool
+}
+
+func (c candidate) saveTo(p *Placer) netip.AddrPort {
+	if !c.save {
+		return netip.AddrPort{}
+	}
+	return p.store.Address
 }
 
 // Choose takes the target that is expected to answer first, leaving out those with the given ids.
@@ -72,6 +81,7 @@
 		Target:    best.target.snapshot(),
 		Version:   best.version,
 		FetchFrom: best.fetchFrom,
+		SaveTo:    best.saveTo(p),
 		Expected:  best.expected,
 		Flight:    p.begin(call, best, now),
 	}, nil
@@ -131,17 +141,16 @@
 	t := c.target
 	engine := p.engines[call.Service]
 	keys := call.keys(c.version)
-	cached := call.cachedTokens(t, keys)
+	cached := call.cachedTokens(t.cached, keys)
 	c.read = call.PromptTokens - cached
-	var fetch time.Duration
-	if holder, more := p.holder(t, call, keys, c.version, cached); holder != nil {
-		c.fetched = more
-		c.fetchFrom = holder.Address
-		c.read -= more
-		fetch = fetchOverhead + engine.transfer(more, holder.DataCentre != t.DataCentre)
+	source := p.source(t, call, keys, c.version, cached)
+	if source.tokens > 0 {
+		c.fetched, c.fetchFrom, c.fetchedFromStore = source.tokens, source.address, source.store
+		c.read -= source.tokens
 	}
-	c.expected += fetch + t.reading(load.unread+c.read+requestTokens(call))
-	if engine.CacheTokens > 0 && load.held+call.PromptTokens+call.OutputTokens > int(fullShare*float64(engine.CacheTokens)) {
+	c.save = !c.fetchedFromStore && p.worthSaving(call, keys)
+	c.expected += source.takes + p.rates[call.Service].reading(load.unread+c.read+requestTokens(call))
+	if engine.CacheTokens > 0 && load.held+call.ownTokens() > int(fullShare*float64(engine.CacheTokens)) {
 		c.expected += preemptionCost
 	}
 }
@@ -156,10 +165,6 @@
 	return promptlessTokens
 }
 
-func (t *target) reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / t.readRate * float64(time.Second))
-}
-
 const (
 	bitsPerByte = 8
 	// remoteTransfer is how much longer a transfer between data centres takes.
@@ -178,17 +183,39 @@
 	return time.Duration(took * float64(time.Second))
 }
 
-// holder finds a target on the same weights that holds more of the prompt than t.
-func (p *Placer) holder(t *target, call Call, keys []partKey, version int64, cached int) (holder *target, more int) {
+// source is where more of a prompt can be fetched from than the target holds.
+type source struct {
+	address netip.AddrPort
+	tokens  int
+	takes   time.Duration
+	store   bool
+}
+
+// source finds the quickest source of parts on the same weights: another target or the store.
+func (p *Placer) source(t *target, call Call, keys []partKey, version int64, cached int) (best source) {
+	engine := p.engines[call.Service]
 	for _, other := range p.services[call.Service] {
-		if other == t || other.Versions[call.Model] != version {
+		if other == t || other.Versions[call.Model] != version || !other.brokenUntil.Before(p.settings.Now()) {
+			continue
+		}
+		held := call.cachedTokens(other.cached, keys) - cached
+		if held < fetchedTokens || held < best.tokens {
 			continue
 		}
-		if held := call.cachedTokens(other, keys) - cached; held >= fetchedTokens && held > more {
-			holder, more = other, held
+		takes := fetchOverhead + engine.transfer(held, other.DataCentre != t.DataCentre)
+		if held > best.tokens || takes < best.takes {
+			best = source{address: other.Address, tokens: held, takes: takes}
 		}
 	}
-	return holder, more
+	if held := call.cachedTokens(p.store.cached, keys) - cached; p.store.usable() && held >= fetchedTokens && held > best.tokens {
+		best = source{address: p.store.Address, tokens: held, takes: fetchOverhead + p.store.delay(engine, held, p.settings.Now()), store: true}
+	}
+	return best
+}
+
+// worthSaving says whether the shared parts should go to the store.
+func (p *Placer) worthSaving(call Call, keys []partKey) bool {
+	return p.store.usable() && call.sharedTokens() >= toldTokens && call.cachedTokens(p.store.cached, keys) < call.sharedTokens()
 }
 
 // preferHome makes all daemons agree on the first target of a prompt that nobody holds yet.
@@ -206,7 +233,7 @@
 	})
 	for i := range candidates {
 		if candidates[i].target != home.target {
-			candidates[i].expected += time.Duration(homeShare * float64(candidates[i].target.reading(call.sharedTokens())))
+			candidates[i].expected += time.Duration(homeShare * float64(p.rates[call.Service].reading(call.sharedTokens())))
 		}
 	}
 }
@@ -246,10 +273,13 @@
 	return tokens
 }
 
-// cachedTokens counts the tokens of the prompt that the target holds from its beginning on.
-func (c Call) cachedTokens(t *target, keys []partKey) (tokens int) {
+// ownTokens is the memory that the call needs beside the shared parts.
+func (c Call) ownTokens() int { return c.PromptTokens - c.sharedTokens() + c.OutputTokens }
+
+// cachedTokens counts the tokens of the prompt that are held from its beginning on.
+func (c Call) cachedTokens(held *parts, keys []partKey) (tokens int) {
 	for i, key := range keys {
-		if !t.cached.has(key) {
+		if !held.has(key) {
 			break
 		}
 		tokens += c.Parts[i].Tokens
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -23,20 +23,54 @@
 	t := best.target
 	f := &Flight{
 		placer: p, target: t, model: call.Model, began: now,
-		work: work{requests: 1, unread: best.read + requestTokens(call), held: call.PromptTokens + call.OutputTokens},
+		work: work{requests: 1, unread: best.read + requestTokens(call), held: call.ownTokens()},
 	}
 	f.alone = t.load().unread == 0 && best.fetched == 0
 	t.own.add(f.work)
-	for i, key := range call.keys(best.version) {
-		t.cached.use(key, call.Parts[i].Tokens, p.cacheBound(call.Service))
-		p.tell(t, key, call.Parts[i].Tokens)
-	}
+	p.place(t, call, best, now)
 	return f
 }
 
-// cacheBound is how many tokens of shared parts an engine of the service is expected to keep.
-func (p *Placer) cacheBound(service string) int {
-	return int(cacheShare * float64(p.engines[service].CacheTokens))
+// place notes what the target will hold of the call, and what goes to or comes from the store.
+func (p *Placer) place(t *target, call Call, best candidate, now time.Time) {
+	keys := call.keys(best.version)
+	bound := p.cacheBound(t)
+	for i, key := range keys {
+		t.cached.use(key, call.Parts[i].Tokens, bound)
+		p.tell(t.hash, key, call.Parts[i].Tokens)
+	}
+	p.placeOwn(t, call, bound)
+	daemons := time.Duration(len(p.peers) + 1) // The others move as much.
+	engine := p.engines[call.Service]
+	if best.fetchedFromStore {
+		p.store.occupy(daemons*p.store.transfer(engine, best.fetched), now)
+	}
+	if best.save {
+		p.saved(call, keys)
+		p.store.occupy(daemons*p.store.transfer(engine, call.sharedTokens()), now)
+	}
+}
+
+// placeOwn notes the part that belongs to the call alone: it takes room though nobody asks for it
+// again. Small ones are not told to the peers, so each stands for those of all daemons.
+func (p *Placer) placeOwn(t *target, call Call, bound int) {
+	if call.Model == "" {
+		return
+	}
+	p.filler++
+	key, tokens := partKey(p.filler), call.ownTokens()
+	if tokens < toldTokens {
+		t.cached.use(key, tokens*(len(p.peers)+1), bound)
+		return
+	}
+	key ^= partKey(p.fillerSeed)
+	t.cached.use(key, tokens, bound)
+	p.tell(t.hash, key, tokens)
+}
+
+// cacheBound is how many tokens of parts an engine is expected to keep beside its running requests.
+func (p *Placer) cacheBound(t *target) int {
+	return int(cacheShare*float64(p.engines[t.Service].CacheTokens)) - t.load().held
 }
 
 // load is the work of this daemon and its peers at a target.
@@ -60,8 +94,17 @@
 	f.target.own.unread -= f.work.unread
 	f.target.breaks = 0
 	if f.alone {
-		f.target.measure(f.work.unread, p.settings.Now().Sub(f.began))
+		p.measure(f)
+	}
+}
+
+// measure learns the read rate from the flight.
+func (p *Placer) measure(f *Flight) {
+	service := f.target.Service
+	if p.rates[service] == nil {
+		p.rates[service] = &readRates{}
 	}
+	p.rates[service].add(f.work.unread, p.settings.Now().Sub(f.began))
 }
 
 // Finished ends the flight, however it went. It may be called more than once.
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -69,8 +69,11 @@
 	p.peers[name] = peer{loads: slices.Clone(loads), at: now}
 	p.count(loads, 1)
 	for _, holding := range holdings {
+		if holding.Target == storeHash {
+			p.store.cached.use(partKey(holding.Key), holding.Tokens, p.store.CacheTokens)
+		}
 		if t := p.byHash[holding.Target]; t != nil {
-			t.cached.use(partKey(holding.Key), holding.Tokens, p.cacheBound(t.Service))
+			t.cached.use(partKey(holding.Key), holding.Tokens, p.cacheBound(t))
 		}
 	}
 	for other, known := range p.peers {
@@ -98,9 +101,9 @@
 }
 
 // tell notes a part for the peers.
-func (p *Placer) tell(t *target, key partKey, tokens int) {
+func (p *Placer) tell(holder TargetHash, key partKey, tokens int) {
 	if tokens >= toldTokens && len(p.untold) < maxHoldings {
-		p.untold = append(p.untold, Holding{Target: t.hash, Key: uint64(key), Tokens: tokens})
+		p.untold = append(p.untold, Holding{Target: holder, Key: uint64(key), Tokens: tokens})
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -67,6 +67,8 @@
 	Version int64
 	// FetchFrom holds more of the prompt than the target; it is invalid where nobody does.
 	FetchFrom netip.AddrPort
+	// SaveTo is the store that the target should send the prompt's shared parts to, if any.
+	SaveTo netip.AddrPort
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
 	Flight   *Flight
@@ -91,6 +93,8 @@
 	Now        func() time.Time
 	// VersionBound is how long a target may begin requests on replaced weights.
 	VersionBound time.Duration
+	// Seed differs between daemons.
+	Seed uint64
 }
 
 // Engine describes the engines of a service.
@@ -138,20 +142,29 @@
 	services map[string][]*target
 	peers    map[string]peer
 	byHash   map[TargetHash]*target
+	rates    map[string]*readRates
+	store    *partStore
 	// untold are parts that peers were not told of yet.
 	untold []Holding
+	// filler numbers the parts that nobody asks for again; fillerSeed keeps them apart from those
+	// of other daemons.
+	filler     uint64
+	fillerSeed uint64
 }
 
 // New returns a Placer without targets.
 func New(settings Settings) *Placer {
 	return &Placer{
-		settings: settings,
-		targets:  make(map[string]*target),
-		engines:  make(map[string]Engine),
-		wanted:   make(map[string]versions),
-		services: make(map[string][]*target),
-		peers:    make(map[string]peer),
-		byHash:   make(map[TargetHash]*target),
+		settings:   settings,
+		targets:    make(map[string]*target),
+		engines:    make(map[string]Engine),
+		wanted:     make(map[string]versions),
+		services:   make(map[string][]*target),
+		peers:      make(map[string]peer),
+		byHash:     make(map[TargetHash]*target),
+		rates:      make(map[string]*readRates),
+		store:      newPartStore(Store{}),
+		fillerSeed: settings.Seed,
 	}
 }
 
--- a/placer/target.go
+++ b/placer/target.go
@@ -6,19 +6,12 @@
 )
 
 const (
-	// defaultReadRate is the rate at which an engine reads a prompt, in tokens a second, before
-	// any was measured.
-	defaultReadRate = 45_000
 	// shedPause is how long a target that refused a request is left alone.
 	shedPause = 150 * time.Millisecond
 	// brokenPause is how long a target that broke a connection is left alone; each further one
 	// doubles it up to longestBrokenPause.
 	brokenPause        = 300 * time.Millisecond
 	longestBrokenPause = 4 * time.Second
-	// readRateGain is the weight of a new measurement of the read rate.
-	readRateGain = 0.2
-	// measuredTokens is the smallest prompt whose reading tells the read rate.
-	measuredTokens = 3000
 )
 
 // work is what requests still need at a target.
@@ -41,11 +34,10 @@
 type target struct {
 	Target
 	hash TargetHash
-	own work
+	own  work
 	// peers is the work of all peers.
-	peers work
-	cached   *parts
-	readRate float64
+	peers  work
+	cached *parts
 
 	// left says that answers showed the incarnation to be gone, whatever its description says.
 	left bool
@@ -60,7 +52,7 @@
 }
 
 func newTarget(described Target) *target {
-	return &target{Target: described, hash: hashOf(described), cached: newParts(), readRate: defaultReadRate}
+	return &target{Target: described, hash: hashOf(described), cached: newParts()}
 }
 
 // describe takes over what the target says of itself. Versions only grow: the description lags
@@ -99,11 +91,3 @@
 	t.breaks++
 	t.brokenUntil = now.Add(pause)
 }
-
-// measure learns the read rate from a prompt that waited behind no other.
-func (t *target) measure(tokens int, took time.Duration) {
-	if tokens < measuredTokens || took <= 0 {
-		return
-	}
-	t.readRate += readRateGain * (float64(tokens)/took.Seconds() - t.readRate)
-}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,6 +49,7 @@
 		Weights:   choice.Version,
 		Wall:      u.wall(),
 		FetchFrom: choice.FetchFrom,
+		SaveTo:    choice.SaveTo,
 		Urgency:   u.urgency(),
 		After:     u.call.LastEvent,
 	}
