relayer, placer: requests that would be far too late are refused at once; ranks of accounts and routes

Cause: under the heaviest load every engine had over 60,000 unread tokens before a prompt and nearly all first events came after 2 to 3 s. Measured: first events of long prompts follow the estimate, those of short urgent ones stay at 250 to 300 ms, since engines take them first. Change: work is told by urgency; a prompt waits for those as urgent and for what was begun; a stream whose first event is expected after 1.5 objectives is refused with the time until there is room.

--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -16,10 +16,11 @@
 
 	fieldTarget   protowire.Number = 1
 	fieldRequests protowire.Number = 2
-	fieldUnread   protowire.Number = 3
-	fieldHeld     protowire.Number = 4
-	fieldKey      protowire.Number = 2
-	fieldTokens   protowire.Number = 3
+	fieldHeld     protowire.Number = 3
+	// fieldUnread is that of the most urgent rank; the others follow it.
+	fieldUnread protowire.Number = 4
+	fieldKey    protowire.Number = 2
+	fieldTokens protowire.Number = 3
 )
 
 var errMalformed = errors.New("malformed message")
@@ -30,7 +31,11 @@
 	head := protowire.AppendTag(nil, fieldName, protowire.BytesType)
 	head = protowire.AppendString(head, name)
 	for _, load := range loads {
-		head = appendNumbers(head, fieldLoad, uint64(load.Target), uint64(max(load.Requests, 0)), uint64(max(load.Unread, 0)), uint64(max(load.Held, 0)))
+		values := []uint64{uint64(load.Target), uint64(max(load.Requests, 0)), uint64(max(load.Held, 0))}
+		for _, tokens := range load.Unread {
+			values = append(values, uint64(max(tokens, 0)))
+		}
+		head = appendNumbers(head, fieldLoad, values...)
 	}
 	message := append([]byte(nil), head...)
 	for _, holding := range holdings {
@@ -43,10 +48,13 @@
 	return append(messages, message)
 }
 
-// appendNumbers appends an object whose fields are numbered from one.
+// appendNumbers appends an object whose fields are numbered from one. Zeros are left out.
 func appendNumbers(message []byte, field protowire.Number, values ...uint64) []byte {
 	var object []byte
 	for i, value := range values {
+		if value == 0 {
+			continue
+		}
 		object = protowire.AppendTag(object, protowire.Number(i+1), protowire.VarintType)
 		object = protowire.AppendVarint(object, value)
 	}
@@ -82,10 +90,7 @@
 			if err != nil {
 				return "", nil, nil, err
 			}
-			loads = append(loads, placer.Load{
-				Target: placer.TargetHash(numbers[fieldTarget]), Requests: int(numbers[fieldRequests]),
-				Unread: int(numbers[fieldUnread]), Held: int(numbers[fieldHeld]),
-			})
+			loads = append(loads, numbers.load())
 		case fieldHolding:
 			numbers, err := consumeNumbers(value)
 			if err != nil {
@@ -103,7 +108,17 @@
 }
 
 // numbers are the fields of an object by their number; unknown ones are dropped.
-type numbers [fieldHeld + 1]uint64
+type numbers [fieldUnread + placer.Urgencies]uint64
+
+func (n numbers) load() placer.Load {
+	load := placer.Load{
+		Target: placer.TargetHash(n[fieldTarget]), Requests: int(n[fieldRequests]), Held: int(n[fieldHeld]),
+	}
+	for urgency := range load.Unread {
+		load.Unread[urgency] = int(n[int(fieldUnread)+urgency])
+	}
+	return load
+}
 
 func consumeNumbers(object []byte) (values numbers, err error) {
 	for len(object) > 0 {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -83,6 +83,9 @@
 		FetchFrom: best.fetchFrom,
 		SaveTo:    best.saveTo(p),
 		Expected:  best.expected,
+		Read:      best.read,
+		Ahead:     best.target.load().unread.ahead(call.Urgency),
+		Requests:  best.target.load().requests,
 		Flight:    p.begin(call, best, now),
 	}, nil
 }
@@ -149,7 +152,7 @@
 		c.read -= source.tokens
 	}
 	c.save = !c.fetchedFromStore && p.worthSaving(call, keys)
-	c.expected += source.takes + p.rates[call.Service].reading(load.unread+c.read+requestTokens(call))
+	c.expected += source.takes + p.rates[call.Service].reading(load.unread.ahead(call.Urgency)+c.read+requestTokens(call))
 	if engine.CacheTokens > 0 && load.held+call.ownTokens() > int(fullShare*float64(engine.CacheTokens)) {
 		c.expected += preemptionCost
 	}
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -23,9 +23,10 @@
 	t := best.target
 	f := &Flight{
 		placer: p, target: t, model: call.Model, began: now,
-		work: work{requests: 1, unread: best.read + requestTokens(call), held: call.ownTokens()},
+		work: work{requests: 1, held: call.ownTokens()},
 	}
-	f.alone = t.load().unread == 0 && best.fetched == 0
+	f.work.unread[call.Urgency] = best.read + requestTokens(call)
+	f.alone = t.load().unread.total() == 0 && best.fetched == 0
 	t.own.add(f.work)
 	p.place(t, call, best, now)
 	return f
@@ -91,7 +92,7 @@
 	p := f.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f.target.own.unread -= f.work.unread
+	f.target.own.add(work{unread: f.work.unread}.negative())
 	f.target.breaks = 0
 	if f.alone {
 		p.measure(f)
@@ -104,7 +105,7 @@
 	if p.rates[service] == nil {
 		p.rates[service] = &readRates{}
 	}
-	p.rates[service].add(f.work.unread, p.settings.Now().Sub(f.began))
+	p.rates[service].add(f.work.unread.total(), p.settings.Now().Sub(f.began))
 }
 
 // Finished ends the flight, however it went. It may be called more than once.
@@ -120,9 +121,9 @@
 	defer p.mu.Unlock()
 	ended := f.work
 	if f.started {
-		ended.unread = 0
+		ended.unread = Unread{}
 	}
-	f.target.own.add(work{requests: -ended.requests, unread: -ended.unread, held: -ended.held})
+	f.target.own.add(ended.negative())
 }
 
 // Shed notes that the target refused the request without running it.
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -14,8 +14,8 @@
 type Load struct {
 	Target   TargetHash
 	Requests int
-	// Unread counts prompt tokens that have not been read.
-	Unread int
+	// Unread counts prompt tokens that have not been read, by urgency.
+	Unread Unread
 	// Held counts tokens of memory.
 	Held int
 }
@@ -65,9 +65,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Now()
-	p.count(p.peers[name].loads, -1)
+	p.count(p.peers[name].loads, work.negative)
 	p.peers[name] = peer{loads: slices.Clone(loads), at: now}
-	p.count(loads, 1)
+	p.count(loads, same)
 	for _, holding := range holdings {
 		if holding.Target == storeHash {
 			p.store.cached.use(partKey(holding.Key), holding.Tokens, p.store.CacheTokens)
@@ -78,17 +78,19 @@
 	}
 	for other, known := range p.peers {
 		if now.Sub(known.at) > peerBound {
-			p.count(known.loads, -1)
+			p.count(known.loads, work.negative)
 			delete(p.peers, other)
 		}
 	}
 }
 
-// count adds or subtracts the work of a peer.
-func (p *Placer) count(loads []Load, sign int) {
+func same(w work) work { return w }
+
+// count adds the work of a peer, or its negative.
+func (p *Placer) count(loads []Load, signed func(work) work) {
 	for _, load := range loads {
 		if t := p.byHash[load.Target]; t != nil {
-			t.peers.add(work{requests: sign * load.Requests, unread: sign * load.Unread, held: sign * load.Held})
+			t.peers.add(signed(work{requests: load.Requests, unread: load.Unread, held: load.Held}))
 		}
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -58,6 +58,8 @@
 	Parts        []Part
 	PromptTokens int
 	OutputTokens int
+	// Urgency is the rank of the request, below Urgencies; zero is the most urgent.
+	Urgency int
 }
 
 // Choice is the target of one attempt.
@@ -71,6 +73,12 @@
 	SaveTo netip.AddrPort
 	// Expected is the estimated time to the first event.
 	Expected time.Duration
+	// Read is how many tokens of the prompt the target has to read, and Ahead how many of other
+	// requests are expected to be read before.
+	Read  int
+	Ahead int
+	// Requests is how many requests the target is expected to have in hand.
+	Requests int
 	Flight   *Flight
 }
 
@@ -188,7 +196,7 @@
 		known.peers = work{}
 	}
 	for _, known := range p.peers {
-		p.count(known.loads, 1)
+		p.count(known.loads, same)
 	}
 }
 
--- a/placer/target.go
+++ b/placer/target.go
@@ -14,19 +14,60 @@
 	longestBrokenPause = 4 * time.Second
 )
 
+// Urgencies is the number of ranks of requests; zero is the most urgent.
+const Urgencies = 10
+
+// Unread counts tokens of prompts by the urgency of their requests.
+type Unread [Urgencies]int
+
+// total counts the tokens of all ranks.
+func (u Unread) total() (tokens int) {
+	for _, count := range u {
+		tokens += count
+	}
+	return tokens
+}
+
+// ahead counts the tokens that are read before a prompt of the urgency: those that are as urgent, and
+// of the others what the engine has begun with.
+func (u Unread) ahead(urgency int) (tokens int) {
+	behind := 0
+	for other, count := range u {
+		if other <= urgency {
+			tokens += count
+		} else {
+			behind += count
+		}
+	}
+	return tokens + min(behind, begunTokens)
+}
+
+// begunTokens bounds what an engine has begun to read of less urgent prompts.
+const begunTokens = 12_000
+
+func (w work) negative() work {
+	for urgency := range w.unread {
+		w.unread[urgency] = -w.unread[urgency]
+	}
+	w.requests, w.held = -w.requests, -w.held
+	return w
+}
+
 // work is what requests still need at a target.
 type work struct {
 	// requests counts the requests that have not ended.
 	requests int
-	// unread counts prompt tokens of requests that have not given their first event.
-	unread int
+	// unread counts prompt tokens of requests that have not given their first event, by urgency.
+	unread Unread
 	// held counts tokens of memory of all requests that have not ended.
 	held int
 }
 
 func (w *work) add(other work) {
 	w.requests += other.requests
-	w.unread += other.unread
+	for urgency, tokens := range other.unread {
+		w.unread[urgency] += tokens
+	}
 	w.held += other.held
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -21,7 +21,7 @@
 func (u *run) attempt(ctx context.Context, choice placer.Choice) (ended verdict, attempted placer.Choice) {
 	defer choice.Flight.Finished()
 	u.sends++
-	u.target, u.version = choice.Target.ID, choice.Version
+	u.target, u.version, u.choice = choice.Target.ID, choice.Version, choice
 	request := u.relayer.settings.Codec.Request(u.call, u.describe(choice))
 	response, err := u.relayer.settings.Targets.Send(ctx, choice.Target.Address, request)
 	if err != nil {
@@ -62,12 +62,17 @@
 	return attempt
 }
 
-// urgency is the rank of the request: that of its account, where it has one, or of its route.
+// routeRanks is how many ranks of routes are told apart within one rank of accounts.
+const routeRanks = 3
+
+// urgency is the rank of the request: that of its account first, where it has one, and that of its
+// route within it.
 func (u *run) urgency() int {
+	rank := min(u.route.Priority, routeRanks-1)
 	if u.account != nil && u.account.Priority != nil {
-		return *u.account.Priority
+		rank += routeRanks * *u.account.Priority
 	}
-	return u.route.Priority
+	return min(rank, placer.Urgencies-1)
 }
 
 // unanswered classifies an attempt without an answer.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -19,6 +20,11 @@
 	spentTime = 10 * time.Millisecond
 	// shedRetry is when a request that targets refused should come back.
 	shedRetry = 200 * time.Millisecond
+	// shortestRetry is the least time after which a refused request should come back.
+	shortestRetry = 100 * time.Millisecond
+	// lateShare is the part of a route's objective up to which the first event of a stream may be
+	// expected.
+	lateShare = 1.5
 )
 
 // run is one request from its arrival to its end.
@@ -47,6 +53,7 @@
 	result  string
 	target  string
 	version int64
+	choice  placer.Choice
 	first   time.Duration
 	status  int
 	cause   error
@@ -155,19 +162,31 @@
 		u.cause = err
 		return placer.Choice{}, notRun(ReasonNoTarget, shedRetry)
 	}
-	if left := time.Until(u.deadline) - spentTime; choice.Expected > left {
+	if excess := choice.Expected - u.allowance(); excess > 0 {
 		choice.Flight.Finished()
-		return placer.Choice{}, notRun(ReasonNotInTime, choice.Expected)
+		u.choice = choice
+		return placer.Choice{}, notRun(ReasonNotInTime, max(excess, shortestRetry))
 	}
 	return choice, nil
 }
 
+// allowance is how late the first event may be expected for the request to be sent. Beyond the
+// objective targets would only grow their queues and make the others late too.
+func (u *run) allowance() time.Duration {
+	left := time.Until(u.deadline) - spentTime
+	if u.route.Repeat != cataloger.RepeatStream || u.route.Objective <= 0 {
+		return left
+	}
+	return min(left, time.Duration(lateShare*float64(u.route.Objective)))
+}
+
 // placement is what the choice of a target needs to know.
 func (u *run) placement() placer.Call {
 	prompt := u.call.Prompt
 	return placer.Call{
 		Service: u.service, Model: prompt.Model, Wall: u.wall(),
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
+		Urgency: u.urgency(),
 	}
 }
 
@@ -256,12 +275,21 @@
 	u.relayer.settings.Observe(outcome)
 	u.relayer.settings.Logger.Info("request",
 		"id", u.call.ID, "result", u.result, "status", u.status, "route", outcome.Route, "service", u.service,
-		"target", u.target, "weights", u.version, "sends", u.sends, "runs", u.runs,
+		"target", u.target, "weights", u.version, "expected_ms", u.choice.Expected.Milliseconds(),
+		"read", u.choice.Read, "ahead", u.choice.Ahead, "in_hand", u.choice.Requests,
+		"fetch_from", addressText(u.choice.FetchFrom), "sends", u.sends, "runs", u.runs,
 		"first_ms", u.first.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", configuration, "contact_age_ms", u.relayer.settings.Knowledge.ContactAge().Milliseconds(),
 		"cause", errorText(u.cause))
 }
 
+func addressText(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
