--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -57,8 +57,6 @@
 	daemonsPrefix = "rill/"
 	// hostsPrefix is where daemons say that they run.
 	hostsPrefix = "rill/hosts/"
-	// namedBefore is how long weights are taken to have been named when a daemon starts.
-	namedBefore = 4 * time.Second
 )
 
 // Settings are the parameters of a Daemon.
@@ -157,7 +155,7 @@
 		},
 		Wanted: func(weights tracker.Weights) {
 			d.logger.Info("weights wanted", "model", weights.Model, "version", weights.Version)
-			k.places.Want(weights.Model, weights.Version, d.namedAt())
+			k.places.Want(weights.Model, weights.Version, !d.starting())
 			d.duties.upgrader.Wake()
 		},
 		Logger: d.logger,
@@ -172,14 +170,8 @@
 	return k
 }
 
-// namedAt is since when weights are wanted that the daemon has just read. What it reads at its start
-// may have been named long before.
-func (d *Daemon) namedAt() time.Time {
-	if time.Since(d.started) < time.Second {
-		return time.Now().Add(-namedBefore)
-	}
-	return time.Now()
-}
+// starting says whether what the daemon reads may have been written long before.
+func (d *Daemon) starting() bool { return time.Since(d.started) < time.Second }
 
 func (d *Daemon) newDuties() duties {
 	lease := leaser.New(leaser.Settings{
@@ -188,7 +180,7 @@
 	})
 	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
-		Places: d.knowledge.places, Logger: d.logger, TakeOver: d.settings.Hosted.LeaseTime, Rank: rand.Float64(),
+		Places: d.knowledge.places, Logger: d.logger, TakeOver: d.settings.Hosted.LeaseTime,
 	})}
 }
 
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -43,6 +43,8 @@
 	open    atomic.Int64
 	idle    idleConnections
 	stop    context.CancelFunc
+	// closed says that no request is begun any more.
+	closed atomic.Bool
 }
 
 func (d *Daemon) newEdge() (e *edge, err error) {
@@ -108,6 +110,10 @@
 	if e.daemon.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if e.closed.Load() {
+		platform.Codec{}.Refuse(w, relayer.Stopping())
+		return
+	}
 	body, err := platform.ReadBody(w, r, e.bodyBound())
 	if err != nil {
 		e.refuseBody(w, err)
@@ -143,6 +149,8 @@
 func (e *edge) shutdown() error {
 	deadline := time.Now().Add(e.daemon.settings.Hosted.StopBound - stopMargin)
 	time.Sleep(leaveTime)
+	e.closed.Store(true)
+	e.idle.closeOlder(0)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	for e.open.Load() > 0 && waiter.Pause(ctx, 50*time.Millisecond) {
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -41,8 +41,8 @@
 
 // Places holds the loads.
 type Places interface {
-	Export() (loads []placer.Load, holdings []placer.Holding)
-	Import(peer string, loads []placer.Load, holdings []placer.Holding)
+	Export() placer.News
+	Import(peer string, news placer.News)
 }
 
 // Settings are the parameters of a Broadcaster.
@@ -108,13 +108,12 @@
 		if !waiter.Pause(ctx, interval) {
 			return
 		}
-		loads, holdings := b.settings.Places.Export()
-		nothing := len(loads) == 0 && len(holdings) == 0
-		if nothing && b.quiet {
+		news := b.settings.Places.Export()
+		if news.Empty() && b.quiet {
 			continue
 		}
-		b.quiet = nothing // The end of all work is told once.
-		for _, message := range encode(b.settings.Name, loads, holdings) {
+		b.quiet = news.Empty() // The end of all work is told once.
+		for _, message := range encode(b.settings.Name, news) {
 			b.send(message, peers)
 		}
 	}
@@ -138,13 +137,13 @@
 		if err != nil {
 			continue // An earlier datagram met a closed port.
 		}
-		name, loads, holdings, err := decode(buffer[:n])
+		name, news, err := decode(buffer[:n])
 		if err != nil {
 			b.settings.Logger.Warn("datagram not understood", "from", from, "error", err)
 			continue
 		}
 		if name != b.settings.Name {
-			b.settings.Places.Import(name, loads, holdings)
+			b.settings.Places.Import(name, news)
 		}
 	}
 }
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -13,32 +14,39 @@
 	fieldName    protowire.Number = 1
 	fieldLoad    protowire.Number = 2
 	fieldHolding protowire.Number = 3
+	fieldNaming  protowire.Number = 4
 
 	fieldTarget   protowire.Number = 1
 	fieldRequests protowire.Number = 2
 	fieldHeld     protowire.Number = 3
 	// fieldUnread is that of the most urgent rank; the others follow it.
-	fieldUnread protowire.Number = 4
-	fieldKey    protowire.Number = 2
-	fieldTokens protowire.Number = 3
+	fieldUnread  protowire.Number = 4
+	fieldKey     protowire.Number = 2
+	fieldTokens  protowire.Number = 3
+	fieldModel   protowire.Number = 1
+	fieldVersion protowire.Number = 2
+	fieldAgeMS   protowire.Number = 3
 )
 
 var errMalformed = errors.New("malformed message")
 
 // encode puts the loads and as many holdings as fit into one message, and the rest into more. Each
 // message tells all loads, since a message replaces the one before.
-func encode(name string, loads []placer.Load, holdings []placer.Holding) (messages [][]byte) {
+func encode(name string, news placer.News) (messages [][]byte) {
 	head := protowire.AppendTag(nil, fieldName, protowire.BytesType)
 	head = protowire.AppendString(head, name)
-	for _, load := range loads {
+	for _, load := range news.Loads {
 		values := []uint64{uint64(load.Target), uint64(max(load.Requests, 0)), uint64(max(load.Held, 0))}
 		for _, tokens := range load.Unread {
 			values = append(values, uint64(max(tokens, 0)))
 		}
 		head = appendNumbers(head, fieldLoad, values...)
 	}
+	for _, naming := range news.Namings {
+		head = appendNaming(head, naming)
+	}
 	message := append([]byte(nil), head...)
-	for _, holding := range holdings {
+	for _, holding := range news.Holdings {
 		if len(message) > maxDatagram && len(message) > len(head) {
 			messages = append(messages, message)
 			message = append([]byte(nil), head...)
@@ -62,86 +70,106 @@
 	return protowire.AppendBytes(message, object)
 }
 
-func decode(message []byte) (name string, loads []placer.Load, holdings []placer.Holding, err error) {
-	for len(message) > 0 {
-		field, kind, n := protowire.ConsumeTag(message)
-		if n < 0 {
-			return "", nil, nil, errMalformed
-		}
-		message = message[n:]
-		if kind != protowire.BytesType {
-			n := protowire.ConsumeFieldValue(field, kind, message)
-			if n < 0 {
-				return "", nil, nil, errMalformed
-			}
-			message = message[n:]
-			continue
+func appendNaming(message []byte, naming placer.Naming) []byte {
+	object := protowire.AppendTag(nil, fieldModel, protowire.BytesType)
+	object = protowire.AppendString(object, naming.Model)
+	object = protowire.AppendTag(object, fieldVersion, protowire.VarintType)
+	object = protowire.AppendVarint(object, uint64(naming.Version))
+	object = protowire.AppendTag(object, fieldAgeMS, protowire.VarintType)
+	object = protowire.AppendVarint(object, uint64(max(naming.Age.Milliseconds(), 0)))
+	message = protowire.AppendTag(message, fieldNaming, protowire.BytesType)
+	return protowire.AppendBytes(message, object)
+}
+
+func decode(message []byte) (name string, news placer.News, err error) {
+	err = consume(message, func(field protowire.Number, value []byte) error {
+		if field == fieldName {
+			name = string(value)
+			return nil
 		}
-		value, n := protowire.ConsumeBytes(message)
-		if n < 0 {
-			return "", nil, nil, errMalformed
+		object, err := consumeObject(value)
+		if err != nil {
+			return err
 		}
-		message = message[n:]
 		switch field {
-		case fieldName:
-			name = string(value)
 		case fieldLoad:
-			numbers, err := consumeNumbers(value)
-			if err != nil {
-				return "", nil, nil, err
-			}
-			loads = append(loads, numbers.load())
+			news.Loads = append(news.Loads, object.load())
 		case fieldHolding:
-			numbers, err := consumeNumbers(value)
-			if err != nil {
-				return "", nil, nil, err
-			}
-			holdings = append(holdings, placer.Holding{
-				Target: placer.TargetHash(numbers[fieldTarget]), Key: numbers[fieldKey], Tokens: int(numbers[fieldTokens]),
-			})
+			news.Holdings = append(news.Holdings, object.holding())
+		case fieldNaming:
+			news.Namings = append(news.Namings, object.naming())
 		}
+		return nil
+	}, func(protowire.Number, uint64) {})
+	if err == nil && name == "" {
+		err = errMalformed
 	}
-	if name == "" {
-		return "", nil, nil, errMalformed
+	return name, news, err
+}
+
+// consume reads the fields of a message; those of unknown kinds are passed over.
+func consume(message []byte, bytes func(protowire.Number, []byte) error, number func(protowire.Number, uint64)) error {
+	for len(message) > 0 {
+		field, kind, n := protowire.ConsumeTag(message)
+		if n < 0 {
+			return errMalformed
+		}
+		length := protowire.ConsumeFieldValue(field, kind, message[n:])
+		if length < 0 {
+			return errMalformed
+		}
+		value := message[n : n+length]
+		message = message[n+length:]
+		switch kind {
+		case protowire.BytesType:
+			content, _ := protowire.ConsumeBytes(value)
+			if err := bytes(field, content); err != nil {
+				return err
+			}
+		case protowire.VarintType:
+			content, _ := protowire.ConsumeVarint(value)
+			number(field, content)
+		}
 	}
-	return name, loads, holdings, nil
+	return nil
 }
 
-// numbers are the fields of an object by their number; unknown ones are dropped.
-type numbers [fieldUnread + placer.Urgencies]uint64
+// object is a part of a message: its text, if it has one, and its numbers by field.
+type object struct {
+	text    string
+	numbers [fieldUnread + placer.Urgencies]uint64
+}
 
-func (n numbers) load() placer.Load {
+func consumeObject(message []byte) (o object, err error) {
+	err = consume(message,
+		func(_ protowire.Number, value []byte) error {
+			o.text = string(value)
+			return nil
+		},
+		func(field protowire.Number, value uint64) {
+			if int(field) < len(o.numbers) {
+				o.numbers[field] = value
+			}
+		})
+	return o, err
+}
+
+func (o object) load() placer.Load {
 	load := placer.Load{
-		Target: placer.TargetHash(n[fieldTarget]), Requests: int(n[fieldRequests]), Held: int(n[fieldHeld]),
+		Target: placer.TargetHash(o.numbers[fieldTarget]), Requests: int(o.numbers[fieldRequests]), Held: int(o.numbers[fieldHeld]),
 	}
 	for urgency := range load.Unread {
-		load.Unread[urgency] = int(n[int(fieldUnread)+urgency])
+		load.Unread[urgency] = int(o.numbers[int(fieldUnread)+urgency])
 	}
 	return load
 }
 
-func consumeNumbers(object []byte) (values numbers, err error) {
-	for len(object) > 0 {
-		field, kind, n := protowire.ConsumeTag(object)
-		if n < 0 {
-			return values, errMalformed
-		}
-		object = object[n:]
-		if kind != protowire.VarintType {
-			if n = protowire.ConsumeFieldValue(field, kind, object); n < 0 {
-				return values, errMalformed
-			}
-			object = object[n:]
-			continue
-		}
-		value, n := protowire.ConsumeVarint(object)
-		if n < 0 {
-			return values, errMalformed
-		}
-		object = object[n:]
-		if int(field) < len(values) {
-			values[field] = value
-		}
+func (o object) holding() placer.Holding {
+	return placer.Holding{Target: placer.TargetHash(o.numbers[fieldTarget]), Key: o.numbers[fieldKey], Tokens: int(o.numbers[fieldTokens])}
+}
+
+func (o object) naming() placer.Naming {
+	return placer.Naming{
+		Model: o.text, Version: int64(o.numbers[fieldVersion]), Age: time.Duration(o.numbers[fieldAgeMS]) * time.Millisecond,
 	}
-	return values, nil
 }
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -34,7 +34,9 @@
 	homeShare = 0.5
 	// versionMargin keeps clear of the bound on replaced weights, since the bound counts from the
 	// operator's write, which the daemon learns a little later.
-	versionMargin = 1500 * time.Millisecond
+	versionMargin = 1200 * time.Millisecond
+	// waitFactor is how much longer than expected a request may wait until it begins.
+	waitFactor = 1.5
 	// defaultRetry is when a caller may come back where nothing better is known.
 	defaultRetry = 250 * time.Millisecond
 )
@@ -97,10 +99,12 @@
 func (p *Placer) best(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
 	var candidates []candidate
 	for _, t := range p.services[call.Service] {
-		if t.Leaving || t.left || slices.Contains(excluded, t.ID) || !allowed(t) || !p.fresh(t, call.Model, now) {
+		if t.Leaving || t.left || slices.Contains(excluded, t.ID) || !allowed(t) {
 			continue
 		}
-		candidates = append(candidates, p.estimate(t, call, now))
+		if c := p.estimate(t, call, now); p.fresh(c, call.Model, now) {
+			candidates = append(candidates, c)
+		}
 	}
 	if len(candidates) == 0 {
 		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: defaultRetry}
@@ -109,13 +113,14 @@
 	return slices.MinFunc(candidates, func(a, b candidate) int { return int(a.expected - b.expected) }), nil
 }
 
-// fresh says whether the weights of a target may still begin requests.
-func (p *Placer) fresh(t *target, model string, now time.Time) bool {
+// fresh says whether the target's weights may still begin the request when it is expected to begin.
+func (p *Placer) fresh(c candidate, model string, now time.Time) bool {
 	if model == "" {
 		return true
 	}
-	since, replaced := p.wanted[model].replacedSince(t.Versions[model])
-	return !replaced || now.Sub(since) < p.settings.VersionBound-versionMargin
+	since, replaced := p.wanted[model].replacedSince(c.version, p.unknownSince())
+	begins := now.Add(time.Duration(waitFactor * float64(c.expected)))
+	return !replaced || begins.Sub(since) < p.settings.VersionBound-versionMargin
 }
 
 // estimate tells when the target would give the first event of the call.
@@ -133,7 +138,7 @@
 		return c
 	}
 	p.estimatePrompt(&c, call, load)
-	if since, replaced := p.wanted[call.Model].replacedSince(c.version); replaced && now.Sub(since) > replacedGrace {
+	if since, replaced := p.wanted[call.Model].replacedSince(c.version, p.unknownSince()); replaced && now.Sub(since) > replacedGrace {
 		c.expected += replacedCost
 	}
 	return c
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -27,6 +27,23 @@
 	Tokens int
 }
 
+// Naming tells since when a model is to have weights.
+type Naming struct {
+	Model   string
+	Version int64
+	Age     time.Duration
+}
+
+// News is what one daemon tells the others.
+type News struct {
+	Loads    []Load
+	Holdings []Holding
+	Namings  []Naming
+}
+
+// Empty says that there is nothing that must be told at once.
+func (n News) Empty() bool { return len(n.Loads) == 0 && len(n.Holdings) == 0 }
+
 // peer is what another daemon has at the targets.
 type peer struct {
 	loads []Load
@@ -46,29 +63,44 @@
 	return TargetHash(xxh3.HashStringSeed(described.ID, uint64(described.Started.UnixMilli())))
 }
 
-// Export returns the work of this daemon, and the parts that it sent anywhere since the last call.
-func (p *Placer) Export() (loads []Load, holdings []Holding) {
+// toldNamings bounds the namings of a model that are told.
+const toldNamings = 4
+
+// Export returns the work of this daemon, the parts that it sent anywhere since the last call, and
+// the newest namings of weights.
+func (p *Placer) Export() (news News) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.settings.Now()
+	for model, known := range p.wanted {
+		for _, named := range known[max(len(known)-toldNamings, 0):] {
+			if !named.guessed {
+				news.Namings = append(news.Namings, Naming{Model: model, Version: named.version, Age: now.Sub(named.since)})
+			}
+		}
+	}
 	for _, t := range p.targets {
 		if t.own != (work{}) {
-			loads = append(loads, Load{Target: t.hash, Requests: t.own.requests, Unread: t.own.unread, Held: t.own.held})
+			news.Loads = append(news.Loads, Load{Target: t.hash, Requests: t.own.requests, Unread: t.own.unread, Held: t.own.held})
 		}
 	}
-	holdings = p.untold
+	news.Holdings = p.untold
 	p.untold = nil
-	return loads, holdings
+	return news
 }
 
 // Import takes over what a peer has at the targets, in place of what it had before.
-func (p *Placer) Import(name string, loads []Load, holdings []Holding) {
+func (p *Placer) Import(name string, news News) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Now()
 	p.count(p.peers[name].loads, work.negative)
-	p.peers[name] = peer{loads: slices.Clone(loads), at: now}
-	p.count(loads, same)
-	for _, holding := range holdings {
+	p.peers[name] = peer{loads: slices.Clone(news.Loads), at: now}
+	p.count(news.Loads, same)
+	for _, naming := range news.Namings {
+		p.want(naming.Model, wanted{version: naming.Version, since: now.Add(-naming.Age)})
+	}
+	for _, holding := range news.Holdings {
 		if holding.Target == storeHash {
 			p.store.cached.use(partKey(holding.Key), holding.Tokens, p.store.CacheTokens)
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,7 +21,9 @@
 package placer
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -116,6 +118,8 @@
 type wanted struct {
 	version int64
 	since   time.Time
+	// guessed says that since is not when the daemon saw the naming, but early enough for any.
+	guessed bool
 }
 
 // versions are the wanted weights of a model, oldest first.
@@ -129,8 +133,12 @@
 	return newest
 }
 
-// replacedSince returns since when weights are replaced by newer ones, and whether they are.
-func (v versions) replacedSince(version int64) (since time.Time, replaced bool) {
+// replacedSince returns since when weights are replaced by newer ones, and whether they are. Where
+// namings before the first known one are missing, it returns unknown.
+func (v versions) replacedSince(version int64, unknown time.Time) (since time.Time, replaced bool) {
+	if len(v) > 0 && version+1 < v[0].version {
+		return unknown, true
+	}
 	for _, named := range v {
 		if named.version > version {
 			return named.since, true
@@ -143,6 +151,8 @@
 type Placer struct {
 	settings Settings
 
+	started time.Time
+
 	mu       sync.Mutex
 	targets  map[string]*target
 	engines  map[string]Engine
@@ -164,6 +174,7 @@
 func New(settings Settings) *Placer {
 	return &Placer{
 		settings:   settings,
+		started:    settings.Now(),
 		targets:    make(map[string]*target),
 		engines:    make(map[string]Engine),
 		wanted:     make(map[string]versions),
@@ -210,16 +221,43 @@
 // keptVersions bounds the wanted weights of a model that are remembered.
 const keptVersions = 16
 
-// Want notes weights that a model is to have from the given time on. Versions that are no newer
-// than those known are ignored.
-func (p *Placer) Want(model string, version int64, since time.Time) {
+// Want notes weights that a model is to have from now on. Without fresh they may have been named
+// long before, and replaced ones are used only for a short time.
+func (p *Placer) Want(model string, version int64, fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.settings.Now()
+	named := wanted{version: version, since: now}
+	if !fresh {
+		named.guessed = true
+		named.since = p.unknownSince()
+	}
+	p.want(model, named)
+}
+
+// unknownGrace is how long a daemon that has just started uses replaced weights without knowing
+// since when they are replaced.
+const unknownGrace = 2500 * time.Millisecond
+
+// unknownSince is since when weights count as replaced where it is not known.
+func (p *Placer) unknownSince() time.Time {
+	return p.started.Add(unknownGrace + versionMargin - p.settings.VersionBound)
+}
+
+// want adds a naming, or improves what is known of one.
+func (p *Placer) want(model string, named wanted) {
 	known := p.wanted[model]
-	if version <= known.newest().version {
+	for i := range known {
+		if known[i].version != named.version {
+			continue
+		}
+		if known[i].guessed || !named.guessed && named.since.Before(known[i].since) {
+			known[i] = named
+		}
 		return
 	}
-	known = append(known, wanted{version: version, since: since})
+	at, _ := slices.BinarySearchFunc(known, named, func(a, b wanted) int { return cmp.Compare(a.version, b.version) })
+	known = slices.Insert(known, at, named)
 	p.wanted[model] = known[max(len(known)-keptVersions, 0):]
 }
 
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -12,6 +12,7 @@
 const (
 	ReasonNoConfiguration Reason = "no_configuration"
 	ReasonNoContact       Reason = "no_contact"
+	ReasonStopping        Reason = "stopping"
 	ReasonNoRoute         Reason = "no_route"
 	ReasonUnknownKey      Reason = "unknown_key"
 	ReasonMalformed       Reason = "malformed"
@@ -54,6 +55,9 @@
 	return refusal
 }
 
+// Stopping refuses a request that comes too late to a daemon that stops.
+func Stopping() Refusal { return *elsewhere(ReasonStopping, contactRetry) }
+
 func denied(status int, reason Reason) *Refusal {
 	return &Refusal{Status: status, Reason: reason, NotRun: true}
 }
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -86,6 +87,7 @@
 	}
 	u.mu.Lock()
 	fence := u.fence
+	u.lastOrder = clocker.Now()
 	u.mu.Unlock()
 	wanted := max(u.settings.Places.Wanted(c.Model), c.Wanted)
 	result, err := u.settings.Engines.Order(ctx, c.Target, Order{
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -107,8 +108,6 @@
 	Logger  *slog.Logger
 	// TakeOver is how long a new holder waits for orders of the one before to have arrived.
 	TakeOver time.Duration
-	// Rank spreads the attempts of the daemons to take the duty, from 0 to 1.
-	Rank float64
 }
 
 // Upgrader is the part of one daemon in the duty.
@@ -125,6 +124,11 @@
 	synced bool
 	// lost is since when no holder is seen.
 	lost time.Time
+	// turn is how long after that this daemon tries to take the duty.
+	turn    time.Duration
+	started time.Time
+	// lastOrder is when this daemon gave its last order.
+	lastOrder clocker.Instant
 	// fence is the version of the duty's key while this daemon holds it.
 	fence storer.Version
 	lease storer.LeaseID
@@ -154,6 +158,7 @@
 func New(settings Settings) *Upgrader {
 	return &Upgrader{
 		settings: settings,
+		started:  time.Now(),
 		cancel:   func() {},
 		wake:     make(chan struct{}, 1),
 		seen:     make(map[string]storer.Item),
@@ -169,14 +174,32 @@
 	u.tasks.Go(func() { u.run(ctx) })
 }
 
-// Close gives no more orders and waits for those on their way.
+// Close gives no more orders, waits for those on their way and leaves the duty to another daemon.
 func (u *Upgrader) Close() error {
 	u.cancel()
 	u.tasks.Wait()
 	u.orders.Wait()
-	return nil
+	if !u.holding() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	u.mu.Lock()
+	fence := u.fence
+	left := formerHolder{name: u.settings.Name, quiet: clocker.Now().Sub(u.lastOrder)}
+	u.mu.Unlock()
+	_, err := u.settings.Store.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: holderKey, Version: fence}},
+		Puts:       []storer.Put{{Key: formerKey, Value: encodeFormer(left)}},
+		Deletes:    []string{holderKey},
+	})
+	u.standDown("the daemon stops")
+	return err
 }
 
+// handOverTimeout bounds the end of the duty at a stop.
+const handOverTimeout = 400 * time.Millisecond
+
 // Wake looks for work at once, such as after new weights were named.
 func (u *Upgrader) Wake() {
 	select {
@@ -236,10 +259,12 @@
 }
 
 const (
-	// vacantPause and rankPause delay the attempts of daemons to take the duty, so that mostly one
-	// tries.
-	vacantPause = 100 * time.Millisecond
-	rankPause   = 600 * time.Millisecond
+	// vacantPause delays every attempt to take the duty, agePause those of daemons that have run
+	// for settledAfter, and spreadPause is drawn at random, so that mostly one tries.
+	vacantPause  = 20 * time.Millisecond
+	agePause     = 300 * time.Millisecond
+	settledAfter = 30 * time.Second
+	spreadPause  = 200 * time.Millisecond
 )
 
 // vacant says whether nobody has the duty and it is this daemon's turn to try.
@@ -255,8 +280,16 @@
 	}
 	if u.lost.IsZero() {
 		u.lost = time.Now()
+		u.turn = turn(time.Since(u.started))
 	}
-	return time.Since(u.lost) >= vacantPause+time.Duration(u.settings.Rank*float64(rankPause))
+	return time.Since(u.lost) >= u.turn
+}
+
+// turn is how long a daemon waits before it tries to take a vacant duty. Those that started last
+// come first: where daemons are restarted one after the other, they are the last to stop again.
+func turn(running time.Duration) time.Duration {
+	age := min(running, settledAfter)
+	return vacantPause + time.Duration(float64(agePause)*float64(age)/float64(settledAfter)) + rand.N(spreadPause)
 }
 
 // take tries to become the holder.
@@ -273,7 +306,7 @@
 		Conditions: []storer.Condition{{Key: holderKey}},
 		Puts: []storer.Put{
 			{Key: holderKey, Value: []byte(u.settings.Name), Lease: lease},
-			{Key: formerKey, Value: []byte(u.settings.Name)},
+			{Key: formerKey, Value: encodeFormer(formerHolder{name: u.settings.Name})},
 		},
 	})
 	var conflict *storer.ConflictError
@@ -284,14 +317,15 @@
 		u.settings.Logger.Warn("duty not taken", "error", err)
 		return
 	}
+	before := decodeFormer(former.Value)
 	wait := time.Duration(0)
-	if known && string(former.Value) != u.settings.Name {
-		wait = u.settings.TakeOver
+	if known && before.name != u.settings.Name {
+		wait = max(u.settings.TakeOver-before.quiet, 0)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fence, u.lease, u.began = version, lease, clocker.Now().Add(wait)
-	u.settings.Logger.Info("duty taken", "fence", version, "former", string(former.Value), "first_order_after", wait)
+	u.settings.Logger.Info("duty taken", "fence", version, "former", before.name, "first_order_after", wait)
 }
 
 // standDown gives the duty up in this daemon's mind; the store drops the key with the lease.
