--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -29,6 +29,8 @@
 	// leaveTime is how long a stopping daemon takes connections until the balancer has noticed two
 	// failed questions, a second apart.
 	leaveTime = 2600 * time.Millisecond
+	// stopCheck is how often a stopping daemon looks for open requests.
+	stopCheck = 50 * time.Millisecond
 	// stopMargin is kept from the bound on a stop.
 	stopMargin = 700 * time.Millisecond
 )
@@ -153,8 +155,10 @@
 	e.idle.closeOlder(0)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	for e.open.Load() > 0 && waiter.Pause(ctx, 50*time.Millisecond) {
-		// Requests go on.
+	for e.open.Load() > 0 {
+		if !waiter.Pause(ctx, stopCheck) {
+			break
+		}
 	}
 	e.stop()
 	err := errors.Join(e.callers.Close(), e.ready.Close())
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -98,11 +98,12 @@
 
 func (p *Placer) best(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
 	var candidates []candidate
+	prompt := p.promptOf(call, now)
 	for _, t := range p.services[call.Service] {
 		if t.Leaving || t.left || slices.Contains(excluded, t.ID) || !allowed(t) {
 			continue
 		}
-		if c := p.estimate(t, call, now); p.fresh(c, call.Model, now) {
+		if c := p.estimate(t, prompt); p.fresh(c, call.Model, now) {
 			candidates = append(candidates, c)
 		}
 	}
@@ -124,7 +125,8 @@
 }
 
 // estimate tells when the target would give the first event of the call.
-func (p *Placer) estimate(t *target, call Call, now time.Time) candidate {
+func (p *Placer) estimate(t *target, prompt *prompt) candidate {
+	call, now := prompt.call, prompt.now
 	c := candidate{target: t, version: t.Versions[call.Model]}
 	load := t.load()
 	c.expected = time.Duration(max(load.requests, 0)) * runningCost
@@ -137,7 +139,7 @@
 	if call.Model == "" {
 		return c
 	}
-	p.estimatePrompt(&c, call, load)
+	p.estimatePrompt(&c, prompt, load)
 	if since, replaced := p.wanted[call.Model].replacedSince(c.version, p.unknownSince()); replaced && now.Sub(since) > replacedGrace {
 		c.expected += replacedCost
 	}
@@ -145,18 +147,18 @@
 }
 
 // estimatePrompt adds the time for reading the prompt and for what waits before it.
-func (p *Placer) estimatePrompt(c *candidate, call Call, load work) {
-	t := c.target
+func (p *Placer) estimatePrompt(c *candidate, prompt *prompt, load work) {
+	t, call := c.target, prompt.call
 	engine := p.engines[call.Service]
-	keys := call.keys(c.version)
-	cached := call.cachedTokens(t.cached, keys)
+	known := prompt.holders(c.version)
+	cached := call.cachedTokens(t.cached, known.keys)
 	c.read = call.PromptTokens - cached
-	source := p.source(t, call, keys, c.version, cached)
+	source := prompt.source(t, known, cached)
 	if source.tokens > 0 {
 		c.fetched, c.fetchFrom, c.fetchedFromStore = source.tokens, source.address, source.store
 		c.read -= source.tokens
 	}
-	c.save = !c.fetchedFromStore && p.worthSaving(call, keys)
+	c.save = !c.fetchedFromStore && p.worthSaving(call, known.keys)
 	c.expected += source.takes + p.rates[call.Service].reading(load.unread.ahead(call.Urgency)+c.read+requestTokens(call))
 	if engine.CacheTokens > 0 && load.held+call.ownTokens() > int(fullShare*float64(engine.CacheTokens)) {
 		c.expected += preemptionCost
@@ -199,24 +201,68 @@
 	store   bool
 }
 
-// source finds the quickest source of parts on the same weights: another target or the store.
-func (p *Placer) source(t *target, call Call, keys []partKey, version int64, cached int) (best source) {
-	engine := p.engines[call.Service]
-	for _, other := range p.services[call.Service] {
-		if other == t || other.Versions[call.Model] != version || !other.brokenUntil.Before(p.settings.Now()) {
+// holders is what is known of the prompt of one call under one version of the weights.
+type holders struct {
+	keys []partKey
+	// most are the targets that hold the most, at most two: one of them may be the target itself.
+	most []holder
+}
+
+type holder struct {
+	target *target
+	tokens int
+}
+
+// prompt finds who holds parts of the prompt of a call, once for each version of the weights.
+type prompt struct {
+	placer    *Placer
+	call      Call
+	now       time.Time
+	byVersion map[int64]*holders
+}
+
+func (p *Placer) promptOf(call Call, now time.Time) *prompt {
+	return &prompt{placer: p, call: call, now: now, byVersion: make(map[int64]*holders)}
+}
+
+func (p *prompt) holders(version int64) *holders {
+	if known := p.byVersion[version]; known != nil {
+		return known
+	}
+	found := &holders{keys: p.call.keys(version)}
+	p.byVersion[version] = found
+	for _, t := range p.placer.services[p.call.Service] {
+		if t.Versions[p.call.Model] != version || t.brokenUntil.After(p.now) {
 			continue
 		}
-		held := call.cachedTokens(other.cached, keys) - cached
-		if held < fetchedTokens || held < best.tokens {
-			continue
+		if tokens := p.call.cachedTokens(t.cached, found.keys); tokens >= fetchedTokens {
+			found.add(holder{target: t, tokens: tokens})
 		}
-		takes := fetchOverhead + engine.transfer(held, other.DataCentre != t.DataCentre)
-		if held > best.tokens || takes < best.takes {
-			best = source{address: other.Address, tokens: held, takes: takes}
+	}
+	return found
+}
+
+func (h *holders) add(other holder) {
+	h.most = append(h.most, other)
+	slices.SortStableFunc(h.most, func(a, b holder) int { return b.tokens - a.tokens })
+	h.most = h.most[:min(len(h.most), 2)]
+}
+
+// source finds the best source of parts on the same weights: another target or the store.
+func (p *prompt) source(t *target, known *holders, cached int) (best source) {
+	engine := p.placer.engines[p.call.Service]
+	for _, other := range known.most {
+		if held := other.tokens - cached; other.target != t && held >= fetchedTokens {
+			best = source{
+				address: other.target.Address, tokens: held,
+				takes: fetchOverhead + engine.transfer(held, other.target.DataCentre != t.DataCentre),
+			}
+			break
 		}
 	}
-	if held := call.cachedTokens(p.store.cached, keys) - cached; p.store.usable() && held >= fetchedTokens && held > best.tokens {
-		best = source{address: p.store.Address, tokens: held, takes: fetchOverhead + p.store.delay(engine, held, p.settings.Now()), store: true}
+	store := p.placer.store
+	if held := p.call.cachedTokens(store.cached, known.keys) - cached; store.usable() && held >= fetchedTokens && held > best.tokens {
+		best = source{address: store.Address, tokens: held, takes: fetchOverhead + store.delay(engine, held, p.now), store: true}
 	}
 	return best
 }
