--- a/connector/connector.go
+++ b/connector/connector.go
@@ -332,6 +332,9 @@
 func (r *Response) Close() error {
 	r.once.Do(func() {
 		undisturbed := r.stop()
+		if r.connection == nil {
+			return
+		}
 		if undisturbed && r.whole && r.lasting && r.writtenWhole() && r.connection.reader.Buffered() == 0 {
 			r.connector.keep(r.connection)
 			return
@@ -349,3 +352,10 @@
 		return false
 	}
 }
+
+// NewResponse returns a response without a connection, for stand-ins of a Connector.
+func NewResponse(status int, header http.Header, body io.ReadCloser) *Response {
+	response := &Response{Status: status, Header: header, body: body, stop: func() bool { return false }}
+	response.Body = &bodyReader{response: response}
+	return response
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,205 @@
+package follower_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/follower"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+)
+
+// store answers by script.
+type store struct {
+	mu        sync.Mutex
+	items     []storer.Item
+	revision  storer.Version
+	down      bool
+	compacted bool
+	lists     int
+	watches   int
+	changes   chan storer.Events
+}
+
+var errDown = errors.New("down")
+
+const pageItems = 2
+
+func (s *store) List(_ context.Context, _, after string) (page storer.Page, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.down {
+		return storer.Page{}, errDown
+	}
+	page.Revision = s.revision
+	for _, item := range s.items {
+		if item.Key <= after {
+			continue
+		}
+		if len(page.Items) == pageItems {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, item)
+	}
+	return page, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, _ storer.Version, wait time.Duration) (storer.Events, error) {
+	s.mu.Lock()
+	s.watches++
+	down, compacted := s.down, s.compacted
+	s.compacted = false
+	s.mu.Unlock()
+	switch {
+	case down:
+		return storer.Events{}, errDown
+	case compacted:
+		return storer.Events{Compacted: true}, nil
+	}
+	select {
+	case events := <-s.changes:
+		return events, nil
+	case <-time.After(wait):
+		return storer.Events{Revision: s.revision}, nil
+	case <-ctx.Done():
+		return storer.Events{}, ctx.Err()
+	}
+}
+
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// sink notes what it is given.
+type sink struct {
+	mu     sync.Mutex
+	resets []string
+	events []string
+}
+
+func (s *sink) Reset(items []storer.Item, afterOutage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets = append(s.resets, fmt.Sprintf("%d items, outage %v", len(items), afterOutage))
+}
+
+func (s *sink) Change(events []storer.Event, afterOutage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, event := range events {
+		s.events = append(s.events, fmt.Sprintf("%s, outage %v", event.Item.Key, afterOutage))
+	}
+}
+
+func (s *sink) last() (reset, event string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.resets) > 0 {
+		reset = s.resets[len(s.resets)-1]
+	}
+	if len(s.events) > 0 {
+		event = s.events[len(s.events)-1]
+	}
+	return reset, event
+}
+
+// follow runs a follower against the store in virtual time.
+func follow(t *testing.T, run func(f *follower.Follower, s *store, seen *sink)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 10, changes: make(chan storer.Events, 10), items: []storer.Item{{Key: "a"}, {Key: "b"}, {Key: "c"}}}
+		seen := &sink{}
+		started := time.Now()
+		f := follower.New(follower.Settings{
+			Store: s, Prefix: "p/", Sink: seen, Wait: time.Second,
+			Now: func() clocker.Instant { return clocker.Instant(time.Since(started) + time.Minute) },
+		})
+		f.Start(t.Context())
+		defer func() { _ = f.Close() }()
+		time.Sleep(100 * time.Millisecond)
+		run(f, s, seen)
+	})
+}
+
+func event(key string) storer.Events {
+	return storer.Events{Revision: 11, Events: []storer.Event{{Kind: storer.EventPut, Item: storer.Item{Key: key, Version: 11}}}}
+}
+
+func TestAllPagesAreRead(t *testing.T) {
+	follow(t, func(_ *follower.Follower, s *store, seen *sink) {
+		if reset, _ := seen.last(); reset != "3 items, outage false" || s.lists != 2 {
+			t.Errorf("%q after %d pages", reset, s.lists)
+		}
+	})
+}
+
+func TestContactIsAgedFromBeforeTheCall(t *testing.T) {
+	follow(t, func(f *follower.Follower, s *store, _ *sink) {
+		time.Sleep(3 * time.Second)
+		if age := f.ContactAge(); age > 2*time.Second || age < time.Second {
+			t.Errorf("contact is %s old between watches of a second", age)
+		}
+		s.set(func() { s.down = true })
+		before := f.ContactAge()
+		time.Sleep(10 * time.Second)
+		if age := f.ContactAge(); age < before+9*time.Second {
+			t.Errorf("contact is %s old after an outage of 10 s", age)
+		}
+	})
+}
+
+func TestHistoryThatIsGoneIsListedAgain(t *testing.T) {
+	follow(t, func(_ *follower.Follower, s *store, seen *sink) {
+		s.set(func() { s.compacted = true; s.items = s.items[:1] })
+		time.Sleep(2 * time.Second)
+		if reset, _ := seen.last(); reset != "1 items, outage false" {
+			t.Errorf("after the loss of the history: %q", reset)
+		}
+	})
+}
+
+func TestChangesAfterAnOutageAreMarked(t *testing.T) {
+	follow(t, func(_ *follower.Follower, s *store, seen *sink) {
+		s.changes <- event("x")
+		time.Sleep(100 * time.Millisecond)
+		if _, last := seen.last(); last != "x, outage false" {
+			t.Errorf("a change on a calm day: %q", last)
+		}
+		s.set(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = false })
+		time.Sleep(time.Second)
+		s.changes <- event("y")
+		time.Sleep(100 * time.Millisecond)
+		if _, last := seen.last(); last != "y, outage true" {
+			t.Errorf("a change right after an outage: %q", last)
+		}
+		time.Sleep(5 * time.Second)
+		s.changes <- event("z")
+		time.Sleep(100 * time.Millisecond)
+		if _, last := seen.last(); last != "z, outage false" {
+			t.Errorf("a change long after an outage: %q", last)
+		}
+	})
+}
+
+// Calls to a store that is down are bounded.
+func TestOutageIsNotAHammer(t *testing.T) {
+	follow(t, func(_ *follower.Follower, s *store, _ *sink) {
+		s.set(func() { s.down = true })
+		before := s.watches
+		time.Sleep(10 * time.Second)
+		if calls := s.watches - before; calls > 30 {
+			t.Errorf("%d calls in 10 s of an outage", calls)
+		}
+	})
+}
