--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -137,7 +137,7 @@
 		if err != nil {
 			continue // An earlier datagram met a closed port.
 		}
-		name, news, err := decode(buffer[:n])
+		name, news, err := Decode(buffer[:n])
 		if err != nil {
 			b.settings.Logger.Warn("datagram not understood", "from", from, "error", err)
 			continue
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -81,7 +81,8 @@
 	return protowire.AppendBytes(message, object)
 }
 
-func decode(message []byte) (name string, news placer.News, err error) {
+// Decode reads a message of a peer.
+func Decode(message []byte) (name string, news placer.News, err error) {
 	err = consume(message, func(field protowire.Number, value []byte) error {
 		if field == fieldName {
 			name = string(value)
--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,150 @@
+package leaser_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/leaser"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+)
+
+const ttl = 3 * time.Second
+
+// store grants leases and ends them by the clock.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	delay   time.Duration
+	granted int
+	until   map[storer.LeaseID]time.Time
+	revoked int
+	puts    int
+}
+
+var errDown = errors.New("down")
+
+// call waits like a call does and says whether the store answers. The change happens on arrival.
+func (s *store) call(change func()) error {
+	s.mu.Lock()
+	down := s.down
+	if !down {
+		change()
+	}
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
+	if down {
+		return errDown
+	}
+	return nil
+}
+
+func (s *store) Grant(context.Context, time.Duration) (lease storer.Lease, err error) {
+	err = s.call(func() {
+		s.granted++
+		lease = storer.Lease{ID: storer.LeaseID(strconv.Itoa(s.granted)), TTL: ttl}
+		s.until[lease.ID] = time.Now().Add(ttl)
+	})
+	return lease, err
+}
+
+func (s *store) Renew(_ context.Context, lease storer.LeaseID) (time.Duration, error) {
+	lapsed := false
+	err := s.call(func() {
+		if lapsed = time.Now().After(s.until[lease]); !lapsed {
+			s.until[lease] = time.Now().Add(ttl)
+		}
+	})
+	if lapsed {
+		err = &storer.NotFoundError{Key: string(lease)}
+	}
+	return ttl, err
+}
+
+func (s *store) Revoke(context.Context, storer.LeaseID) error {
+	return s.call(func() { s.revoked++ })
+}
+
+func (s *store) Commit(context.Context, storer.Transaction) (storer.Version, error) {
+	return 1, s.call(func() { s.puts++ })
+}
+
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// holds says whether the store takes the lease for valid.
+func (s *store) holds(lease storer.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.until[lease])
+}
+
+func withLeaser(t *testing.T, run func(l *leaser.Leaser, s *store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{until: make(map[storer.LeaseID]time.Time)}
+		l := leaser.New(leaser.Settings{
+			Store: s, TTL: ttl, Key: "k", Logger: slog.New(slog.DiscardHandler),
+			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
+		})
+		l.Start(t.Context())
+		defer func() { _ = l.Close() }()
+		time.Sleep(100 * time.Millisecond)
+		run(l, s)
+	})
+}
+
+func TestLeaseIsKept(t *testing.T) {
+	withLeaser(t, func(l *leaser.Leaser, s *store) {
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			if lease, held := l.Held(); !held || !s.holds(lease) {
+				t.Fatalf("lease %s is held %v, by the store %v", lease, held, s.holds(lease))
+			}
+		}
+		if s.granted != 1 || s.puts != 1 {
+			t.Errorf("%d leases and %d entries", s.granted, s.puts)
+		}
+	})
+}
+
+// The daemon never takes its lease for longer than the store does, also where answers are slow.
+func TestLeaseIsNotOverestimated(t *testing.T) {
+	withLeaser(t, func(l *leaser.Leaser, s *store) {
+		s.set(func() { s.delay = 700 * time.Millisecond })
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.down = true })
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if lease, held := l.Held(); held && !s.holds(lease) {
+				t.Fatal("the daemon holds a lease that has lapsed at the store")
+			}
+		}
+		if _, held := l.Held(); held {
+			t.Error("a lease is held after an outage of 10 s")
+		}
+		s.set(func() { s.down, s.delay = false, 0 })
+		time.Sleep(2 * time.Second)
+		if lease, held := l.Held(); !held || !s.holds(lease) || s.granted != 2 || s.puts != 2 {
+			t.Errorf("after the outage held is %v, %d granted, %d entries", held, s.granted, s.puts)
+		}
+	})
+}
+
+func TestLeaseEndsWithTheDaemon(t *testing.T) {
+	withLeaser(t, func(l *leaser.Leaser, s *store) {
+		if err := l.Close(); err != nil || s.revoked != 1 {
+			t.Errorf("%v, %d revoked", err, s.revoked)
+		}
+	})
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,169 @@
+package tracker_test
+
+import (
+	"errors"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/cataloger"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/tracker"
+)
+
+func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+func item(key, value string, version storer.Version) storer.Item {
+	return storer.Item{Key: key, Value: []byte(value), Version: version}
+}
+
+func put(key, value string, version storer.Version) storer.Event {
+	return storer.Event{Kind: storer.EventPut, Item: item(key, value, version)}
+}
+
+func deleted(key string, version storer.Version) storer.Event {
+	return storer.Event{Kind: storer.EventDelete, Item: storer.Item{Key: key, Version: version}}
+}
+
+// seen collects the ids of the targets after the last change.
+type seen struct{ ids string }
+
+func newTargets(s *seen) *tracker.Targets {
+	return tracker.NewTargets(tracker.TargetSettings{
+		Decode: func(item storer.Item) (placer.Target, error) {
+			if string(item.Value) == "torn" {
+				return placer.Target{}, errors.New("torn")
+			}
+			return placer.Target{ID: item.Key, Leaving: string(item.Value) == "leaving"}, nil
+		},
+		Changed: func(targets []placer.Target) {
+			var ids []string
+			for _, target := range targets {
+				id := target.ID
+				if target.Leaving {
+					id += "-"
+				}
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			s.ids = strings.Join(ids, " ")
+		},
+		Logger: discard(),
+	})
+}
+
+func TestTargetsFollowTheirEntries(t *testing.T) {
+	s := &seen{}
+	targets := newTargets(s)
+	targets.Reset([]storer.Item{item("a", "", 1), item("b", "", 2), item("bad", "torn", 3)}, false)
+	if s.ids != "a b" {
+		t.Errorf("after the list: %q", s.ids)
+	}
+	targets.Change([]storer.Event{put("b", "leaving", 4), deleted("a", 5), put("c", "", 6), put("c", "torn", 7)}, false)
+	if s.ids != "b- c" {
+		t.Errorf("after changes: %q", s.ids)
+	}
+	targets.Change([]storer.Event{put("b", "", 3), deleted("c", 2)}, false)
+	if s.ids != "b- c" {
+		t.Errorf("after changes that are older than what is known: %q", s.ids)
+	}
+}
+
+func TestLapsedEntriesAreKeptForAWhileAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &seen{}
+		targets := newTargets(s)
+		defer func() { _ = targets.Close() }()
+		targets.Reset([]storer.Item{item("a", "", 1), item("b", "", 2), item("c", "", 3)}, false)
+		targets.Change([]storer.Event{deleted("a", 5)}, true)
+		targets.Reset([]storer.Item{item("c", "", 3)}, true)
+		if s.ids != "a b c" {
+			t.Errorf("right after the outage: %q", s.ids)
+		}
+		targets.Change([]storer.Event{put("a", "", 7)}, true)
+		time.Sleep(tracker.LapseGrace + time.Millisecond)
+		synctest.Wait()
+		if s.ids != "a c" {
+			t.Errorf("after the grace: %q", s.ids)
+		}
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	var accepted []int64
+	var wanted []tracker.Weights
+	declarations := tracker.NewDeclarations(tracker.DeclarationsSettings{
+		Decode: func(item storer.Item) (declared tracker.Declared, err error) {
+			switch string(item.Value) {
+			case "torn":
+				return declared, errors.New("torn")
+			case "weights":
+				declared.Weights = &tracker.Weights{Model: "m", Version: 2}
+			default:
+				declared.Catalog = cataloger.New(int64(item.Value[0]-'0'), cataloger.Declarations{})
+			}
+			return declared, nil
+		},
+		Accepted: func(catalog *cataloger.Catalog) { accepted = append(accepted, catalog.Version()) },
+		Wanted:   func(weights tracker.Weights) { wanted = append(wanted, weights) },
+		Logger:   discard(),
+	})
+	if declarations.Catalog() != nil {
+		t.Error("a configuration before the first")
+	}
+	declarations.Reset([]storer.Item{item("c", "3", 1), item("w", "weights", 2)}, false)
+	declarations.Change([]storer.Event{put("c", "5", 3), put("c", "torn", 4), deleted("c", 5)}, false)
+	declarations.Reset([]storer.Item{item("c", "4", 1)}, true)
+	if !slices.Equal(accepted, []int64{3, 5}) || declarations.Catalog().Version() != 5 || len(wanted) != 1 {
+		t.Errorf("accepted %v, in force %d, wanted %v", accepted, declarations.Catalog().Version(), wanted)
+	}
+}
+
+func TestPeersLeaveOutTheDaemonItself(t *testing.T) {
+	var addresses []netip.AddrPort
+	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	peers := tracker.NewPeers(tracker.PeersSettings{Own: own, Changed: func(a []netip.AddrPort) { addresses = a }, Logger: discard()})
+	peers.Reset([]storer.Item{item("h/a", own.String(), 1), item("h/b", other.String(), 2), item("h/c", "?", 3)}, false)
+	if !slices.Equal(addresses, []netip.AddrPort{other}) {
+		t.Errorf("peers are %v", addresses)
+	}
+	peers.Reset(nil, true)
+	if len(addresses) != 1 {
+		t.Error("peers whose entries lapsed in an outage are forgotten")
+	}
+	peers.Change([]storer.Event{deleted("h/b", 4)}, false)
+	if len(addresses) != 0 {
+		t.Errorf("peers are %v", addresses)
+	}
+}
+
+// noted is a sink that notes keys.
+type noted struct{ keys []string }
+
+func (n *noted) Reset(items []storer.Item, _ bool) {
+	n.keys = nil
+	for _, item := range items {
+		n.keys = append(n.keys, item.Key)
+	}
+}
+
+func (n *noted) Change(events []storer.Event, _ bool) {
+	for _, event := range events {
+		n.keys = append(n.keys, event.Item.Key)
+	}
+}
+
+func TestSplitHandsKeysToTheirSink(t *testing.T) {
+	a, b := &noted{}, &noted{}
+	split := tracker.Split{"x/a/": a, "x/b/": b}
+	split.Reset([]storer.Item{item("x/a/1", "", 1), item("x/b/1", "", 2)}, false)
+	split.Change([]storer.Event{put("x/b/2", "", 3), put("x/c/1", "", 4)}, false)
+	if !slices.Equal(a.keys, []string{"x/a/1"}) || !slices.Equal(b.keys, []string{"x/b/1", "x/b/2"}) {
+		t.Errorf("a got %v, b got %v", a.keys, b.keys)
+	}
+}
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -87,7 +86,7 @@
 	}
 	u.mu.Lock()
 	fence := u.fence
-	u.lastOrder = clocker.Now()
+	u.lastOrder = u.settings.Now()
 	u.mu.Unlock()
 	wanted := max(u.settings.Places.Wanted(c.Model), c.Wanted)
 	result, err := u.settings.Engines.Order(ctx, c.Target, Order{
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -108,6 +108,8 @@
 	Logger  *slog.Logger
 	// TakeOver is how long a new holder waits for orders of the one before to have arrived.
 	TakeOver time.Duration
+	// Now is the clock of the duty. Default: clocker.Now.
+	Now func() clocker.Instant
 }
 
 // Upgrader is the part of one daemon in the duty.
@@ -156,6 +158,9 @@
 
 // New returns an Upgrader that has not started.
 func New(settings Settings) *Upgrader {
+	if settings.Now == nil {
+		settings.Now = clocker.Now
+	}
 	return &Upgrader{
 		settings: settings,
 		started:  time.Now(),
@@ -186,7 +191,7 @@
 	defer cancel()
 	u.mu.Lock()
 	fence := u.fence
-	left := formerHolder{name: u.settings.Name, quiet: clocker.Now().Sub(u.lastOrder)}
+	left := formerHolder{name: u.settings.Name, quiet: u.settings.Now().Sub(u.lastOrder)}
 	u.mu.Unlock()
 	_, err := u.settings.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: holderKey, Version: fence}},
@@ -255,7 +260,7 @@
 	lease, held := u.settings.Lease.Held()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return held && lease == u.lease && u.fence != 0 && !clocker.Now().Before(u.began)
+	return held && lease == u.lease && u.fence != 0 && !u.settings.Now().Before(u.began)
 }
 
 const (
@@ -324,7 +329,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fence, u.lease, u.began = version, lease, clocker.Now().Add(wait)
+	u.fence, u.lease, u.began = version, lease, u.settings.Now().Add(wait)
 	u.settings.Logger.Info("duty taken", "fence", version, "former", before.name, "first_order_after", wait)
 }
 
--- /dev/null
+++ b/upgrader/upgrader_test.go
@@ -0,0 +1,440 @@
+package upgrader_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/seeder"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/upgrader"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m) }
+
+const (
+	model    = "m"
+	takeOver = 3 * time.Second
+	loadTime = 800 * time.Millisecond
+)
+
+// fleet is some daemons, the store that they share and engines.
+type fleet struct {
+	mu       sync.Mutex
+	items    map[string]storer.Item
+	revision storer.Version
+	// cut names daemons that do not reach the store.
+	cut      map[string]bool
+	daemons  map[string]*daemon
+	wanted   int64
+	engines  map[string]*engine
+	orders   []given
+	problems []string
+}
+
+// given is an order that reached an engine.
+type given struct {
+	holder string
+	fence  storer.Version
+	at     time.Time
+}
+
+type engine struct {
+	version  int64
+	accepted int64
+	fence    storer.Version
+	loading  int64
+	until    time.Time
+	// lose makes the engine carry out an order without an answer.
+	lose bool
+}
+
+// daemon is the part of one daemon: its lease and its view of the engines.
+type daemon struct {
+	fleet    *fleet
+	name     string
+	lease    storer.LeaseID
+	held     bool
+	upgrader *upgrader.Upgrader
+	updating map[string]bool
+	hearing  sync.Mutex
+}
+
+func newFleet(engines int, daemons ...string) *fleet {
+	f := &fleet{items: make(map[string]storer.Item), cut: make(map[string]bool), daemons: make(map[string]*daemon), engines: make(map[string]*engine), wanted: 1}
+	for i := range engines {
+		f.engines[fmt.Sprintf("e%02d", i)] = &engine{version: 1}
+	}
+	for i, name := range daemons {
+		d := &daemon{fleet: f, name: name, lease: storer.LeaseID(fmt.Sprint(i + 1)), held: true, updating: make(map[string]bool)}
+		d.upgrader = upgrader.New(upgrader.Settings{
+			Name: name, Store: d, Lease: d, Engines: d, Places: d, Logger: slog.New(slog.DiscardHandler), TakeOver: takeOver,
+			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
+		})
+		f.daemons[name] = d
+	}
+	return f
+}
+
+func (f *fleet) start(ctx context.Context) {
+	for _, d := range f.daemons {
+		d.upgrader.Reset(nil, false)
+		d.upgrader.Start(ctx)
+	}
+}
+
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		_ = d.upgrader.Close()
+	}
+}
+
+// lapse ends the lease of a daemon at the store and tells all that reach it.
+func (f *fleet) lapse(name string) {
+	f.mu.Lock()
+	var events []storer.Event
+	for key, item := range f.items {
+		if item.Lease == f.daemons[name].lease {
+			delete(f.items, key)
+			f.revision++
+			events = append(events, storer.Event{Kind: storer.EventDelete, Item: storer.Item{Key: key, Version: f.revision}})
+		}
+	}
+	f.mu.Unlock()
+	f.tell(events)
+}
+
+func (f *fleet) tell(events []storer.Event) {
+	f.mu.Lock()
+	var reached []*daemon
+	for name, d := range f.daemons {
+		if !f.cut[name] {
+			reached = append(reached, d)
+		}
+	}
+	f.mu.Unlock()
+	for _, d := range reached {
+		go d.hear(events)
+	}
+}
+
+func (f *fleet) holder() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return string(f.items[upgrader.KeyPrefix+"holder"].Value)
+}
+
+// versions returns the weights of all engines.
+func (f *fleet) versions() (versions []int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		e.settle()
+		versions = append(versions, e.version)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// settle ends a load whose time is over.
+func (e *engine) settle() {
+	if e.loading > 0 && !time.Now().Before(e.until) {
+		e.version, e.loading = e.loading, 0
+	}
+}
+
+// hear hands changes to the daemon one after the other, as its follower does.
+func (d *daemon) hear(events []storer.Event) {
+	d.hearing.Lock()
+	defer d.hearing.Unlock()
+	d.upgrader.Change(events, false)
+}
+
+func (d *daemon) Held() (storer.LeaseID, bool) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return d.lease, d.held
+}
+
+func (d *daemon) Commit(_ context.Context, transaction storer.Transaction) (storer.Version, error) {
+	f := d.fleet
+	f.mu.Lock()
+	if f.cut[d.name] {
+		f.mu.Unlock()
+		return 0, &storer.UnavailableError{Cause: errors.New("cut off")}
+	}
+	for _, condition := range transaction.Conditions {
+		if f.items[condition.Key].Version != condition.Version {
+			f.mu.Unlock()
+			return 0, &storer.ConflictError{Key: condition.Key}
+		}
+	}
+	f.revision++
+	version := f.revision
+	var events []storer.Event
+	for _, put := range transaction.Puts {
+		item := storer.Item{Key: put.Key, Value: put.Value, Version: version, Lease: put.Lease}
+		f.items[put.Key] = item
+		events = append(events, storer.Event{Kind: storer.EventPut, Item: item})
+	}
+	for _, key := range transaction.Deletes {
+		delete(f.items, key)
+		events = append(events, storer.Event{Kind: storer.EventDelete, Item: storer.Item{Key: key, Version: version}})
+	}
+	f.mu.Unlock()
+	f.tell(events)
+	return version, nil
+}
+
+func (d *daemon) Report(_ context.Context, target placer.Target) (upgrader.Report, error) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	e := d.fleet.engines[target.ID]
+	e.settle()
+	return upgrader.Report{Busy: e.loading > 0, Accepted: e.accepted, Versions: map[string]int64{model: e.version}}, nil
+}
+
+func (d *daemon) Order(_ context.Context, target placer.Target, order upgrader.Order) (upgrader.Result, error) {
+	f := d.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.check(given{holder: order.Holder, fence: order.Fence, at: time.Now()})
+	e := f.engines[target.ID]
+	e.settle()
+	switch {
+	case order.Fence < e.fence:
+		return upgrader.ResultFenced, nil
+	case e.loading > 0 || order.Accepted != e.accepted:
+		return upgrader.ResultConflict, nil
+	}
+	e.fence, e.loading, e.until = order.Fence, order.Version, time.Now().Add(loadTime)
+	e.accepted++
+	if e.lose {
+		e.lose = false
+		return upgrader.ResultConflict, errors.New("the answer was lost")
+	}
+	return upgrader.ResultAccepted, nil
+}
+
+// check holds an order against the rules between holders.
+func (f *fleet) check(order given) {
+	if len(f.orders) > 0 {
+		last := f.orders[len(f.orders)-1]
+		switch {
+		case order.holder != last.holder && order.fence <= last.fence:
+			f.problems = append(f.problems, fmt.Sprintf("%s gave an order with fence %d after %s with %d", order.holder, order.fence, last.holder, last.fence))
+		case order.holder != last.holder && order.at.Sub(last.at) < takeOver:
+			f.problems = append(f.problems, fmt.Sprintf("%s gave an order %s after one of %s", order.holder, order.at.Sub(last.at), last.holder))
+		}
+	}
+	f.orders = append(f.orders, order)
+	loading := 0
+	for _, e := range f.engines {
+		e.settle()
+		if e.loading > 0 {
+			loading++
+		}
+	}
+	if most := max(2, len(f.engines)/6); loading >= most+1 {
+		f.problems = append(f.problems, fmt.Sprintf("%d engines load at once", loading+1))
+	}
+}
+
+func (d *daemon) Targets() (targets []placer.Target) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	for id, e := range d.fleet.engines {
+		e.settle()
+		targets = append(targets, placer.Target{ID: id, Versions: map[string]int64{model: e.version}})
+	}
+	return targets
+}
+
+func (d *daemon) Wanted(string) int64 {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return d.fleet.wanted
+}
+
+func (d *daemon) Updating(id string, until time.Time) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	d.updating[id] = time.Now().Before(until)
+}
+
+func (d *daemon) Updated(id, _ string, _ int64) { d.Updating(id, time.Time{}) }
+
+// want names new weights.
+func (f *fleet) want(version int64) {
+	f.mu.Lock()
+	f.wanted = version
+	f.mu.Unlock()
+	for _, d := range f.daemons {
+		d.upgrader.Wake()
+	}
+}
+
+func inVirtualTime(t *testing.T, engines int, run func(f *fleet), daemons ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(engines, daemons...)
+		f.start(t.Context())
+		time.Sleep(2 * time.Second)
+		run(f)
+		f.close()
+		synctest.Wait()
+		if len(f.problems) > 0 {
+			t.Error(strings.Join(f.problems, "\n"))
+		}
+	})
+}
+
+func TestAllEnginesGetNewWeights(t *testing.T) {
+	inVirtualTime(t, 12, func(f *fleet) {
+		f.want(2)
+		time.Sleep(12 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
+			t.Errorf("after 12 s the engines have %v", versions)
+		}
+		if len(f.orders) != 12 {
+			t.Errorf("%d orders for 12 engines", len(f.orders))
+		}
+	}, "a", "b", "c")
+}
+
+// Versions that are replaced before an engine's turn are skipped.
+func TestReplacedVersionsAreSkipped(t *testing.T) {
+	inVirtualTime(t, 12, func(f *fleet) {
+		for version := int64(2); version <= 5; version++ {
+			f.want(version)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(16 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{5}) {
+			t.Errorf("the engines have %v", versions)
+		}
+		if len(f.orders) > 22 {
+			t.Errorf("%d orders for four versions at 12 engines", len(f.orders))
+		}
+	}, "a", "b")
+}
+
+func TestOtherDaemonsAreToldBeforeAnOrder(t *testing.T) {
+	inVirtualTime(t, 4, func(f *fleet) {
+		f.want(2)
+		time.Sleep(300 * time.Millisecond)
+		holder := f.holder()
+		for name, d := range f.daemons {
+			f.mu.Lock()
+			told := len(d.updating)
+			f.mu.Unlock()
+			if told == 0 {
+				t.Errorf("%s does not know of the change that %s begins", name, holder)
+			}
+		}
+		if len(f.orders) > 0 {
+			t.Error("an order was given before requests could go elsewhere")
+		}
+	}, "a", "b", "c")
+}
+
+func TestStoppingHolderHandsOver(t *testing.T) {
+	inVirtualTime(t, 12, func(f *fleet) {
+		f.want(2)
+		time.Sleep(2 * time.Second)
+		first := f.holder()
+		_ = f.daemons[first].upgrader.Close()
+		time.Sleep(15 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) || f.holder() == first {
+			t.Errorf("15 s after the stop of %s the engines have %v, the holder is %s", first, versions, f.holder())
+		}
+	}, "a", "b", "c")
+}
+
+func TestCutOffHolderGivesNoOrders(t *testing.T) {
+	inVirtualTime(t, 12, func(f *fleet) {
+		f.want(2)
+		time.Sleep(2 * time.Second)
+		first := f.holder()
+		f.mu.Lock()
+		f.cut[first] = true
+		f.daemons[first].held = false
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		f.lapse(first)
+		time.Sleep(20 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
+			t.Errorf("the engines have %v", versions)
+		}
+	}, "a", "b", "c")
+}
+
+func TestLostAnswerToAnOrderIsSettledByTheReport(t *testing.T) {
+	inVirtualTime(t, 2, func(f *fleet) {
+		f.mu.Lock()
+		f.engines["e00"].lose = true
+		f.mu.Unlock()
+		f.want(2)
+		time.Sleep(6 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) || len(f.orders) != 2 {
+			t.Errorf("the engines have %v after %d orders", versions, len(f.orders))
+		}
+	}, "a")
+}
+
+// Whatever happens to holders, orders keep to the rules between them.
+func TestHoldersNeverTakeTurnsTooFast(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 8).Draw(rt, "steps")
+		var problems []string
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(6, "a", "b", "c", "d")
+			f.start(t.Context())
+			time.Sleep(time.Second)
+			for i, step := range steps {
+				holder := f.holder()
+				switch {
+				case step == 0 || holder == "":
+					f.want(int64(i) + 2)
+				case step == 1:
+					_ = f.daemons[holder].upgrader.Close()
+				case step == 2:
+					f.mu.Lock()
+					f.cut[holder], f.daemons[holder].held = true, false
+					f.mu.Unlock()
+					f.lapse(holder)
+				}
+				time.Sleep(700 * time.Millisecond)
+			}
+			f.close()
+			synctest.Wait()
+			problems = f.problems
+		})
+		if len(problems) > 0 {
+			rt.Fatal(strings.Join(problems, "\n"))
+		}
+	})
+}
+
+func TestNextTakesTheOldestFirst(t *testing.T) {
+	target := func(id string, version int64) placer.Target {
+		return placer.Target{ID: id, Versions: map[string]int64{model: version}}
+	}
+	next := upgrader.Next([]placer.Target{
+		target("a", 3), target("b", 1), target("c", 2), target("d", 1), {ID: "plain"},
+	}, func(string) int64 { return 3 }, func(id string) bool { return id == "d" })
+	if len(next) != 1 || next[0].Target.ID != "b" {
+		t.Errorf("next are %+v", next)
+	}
+}
