--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -12,7 +12,6 @@
 package assembler
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"log/slog"
@@ -27,9 +26,11 @@
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/convictor"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/leaser"
 	"github.com/rosemaryrill/rosemaryrill/loader"
+	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
@@ -64,6 +65,8 @@
 	loader.Settings
 	// LogOutput takes the log lines.
 	LogOutput io.Writer
+	// LogParts names the parts whose debug lines are logged too.
+	LogParts []string
 }
 
 // knowledge is what the daemon believes of its deployment.
@@ -74,6 +77,7 @@
 	followers    []*follower.Follower
 	contact      *follower.Follower
 	places       *placer.Placer
+	strikes      *convictor.Convictor
 }
 
 // Catalog returns the configuration in force.
@@ -82,6 +86,21 @@
 // ContactAge is the time since the configuration was known to be the newest.
 func (k *knowledge) ContactAge() time.Duration { return k.contact.ContactAge() }
 
+// Export returns what the other daemons should know.
+func (k *knowledge) Export() placer.News {
+	news := k.places.Export()
+	news.Strikes = k.strikes.Export()
+	return news
+}
+
+// Import takes over what another daemon knows.
+func (k *knowledge) Import(peer string, news placer.News) {
+	k.places.Import(peer, news)
+	for _, strike := range news.Strikes {
+		k.strikes.Import(strike)
+	}
+}
+
 // duties is what one daemon does for all.
 type duties struct {
 	lease    *leaser.Leaser
@@ -91,6 +110,9 @@
 // Daemon is one running daemon.
 type Daemon struct {
 	settings  Settings
+	hosted    atomic.Pointer[loader.Hosted]
+	logs      *observer.Outlet
+	observer  *observer.Observer
 	logger    *slog.Logger
 	store     *platform.Store
 	targets   *connector.Connector
@@ -113,16 +135,20 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Hosted.MemoryBytes)))
 	d = &Daemon{
 		settings: settings,
-		logger:   slog.New(slog.NewJSONHandler(settings.LogOutput, &slog.HandlerOptions{Level: settings.Log.Level})),
+		logs:     observer.NewOutlet(settings.LogOutput),
 		store:    platform.NewStore(settings.Platform[0]),
 		targets:  connector.New(connector.Settings{}),
 		started:  time.Now(),
 	}
+	d.hosted.Store(&settings.Hosted)
+	if err := d.observe(ctx); err != nil {
+		return nil, err
+	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.knowledge = d.newKnowledge()
 	d.duties = d.newDuties()
 	d.peers, err = broadcaster.New(broadcaster.Settings{
-		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge.places, Logger: d.logger,
+		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge, Logger: d.log("broadcaster"),
 	})
 	if err != nil {
 		return nil, err
@@ -132,6 +158,9 @@
 		d.cancel()
 		return nil, err
 	}
+	if err := d.registerGauges(); err != nil {
+		return nil, errs.Combine(err, d.close())
+	}
 	for _, f := range d.knowledge.followers {
 		f.Start(ctx)
 	}
@@ -147,6 +176,7 @@
 		DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		Seed: rand.Uint64(),
 	})
+	k.strikes = convictor.New(convictor.Settings{Alive: k.places.Alive, Now: time.Now})
 	k.declarations = tracker.NewDeclarations(tracker.DeclarationsSettings{
 		Decode: decodeDeclared,
 		Accepted: func(catalog *cataloger.Catalog) {
@@ -158,13 +188,13 @@
 			k.places.Want(weights.Model, weights.Version, !d.starting())
 			d.duties.upgrader.Wake()
 		},
-		Logger: d.logger,
+		Logger: d.log("tracker"),
 	})
 	k.targets = tracker.NewTargets(tracker.TargetSettings{
-		Decode: platform.DecodeTarget, Changed: k.places.SetTargets, Logger: d.logger,
+		Decode: platform.DecodeTarget, Changed: k.places.SetTargets, Logger: d.log("tracker"),
 	})
 	k.peers = tracker.NewPeers(tracker.PeersSettings{
-		Own: d.settings.PeersAdvertise, Logger: d.logger,
+		Own: d.settings.PeersAdvertise, Logger: d.log("tracker"),
 		Changed: func(peers []netip.AddrPort) { d.peers.SetPeers(peers) },
 	})
 	return k
@@ -175,12 +205,12 @@
 
 func (d *Daemon) newDuties() duties {
 	lease := leaser.New(leaser.Settings{
-		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.logger,
+		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.log("leaser"),
 		Key: hostsPrefix + d.settings.Name, Value: []byte(d.settings.PeersAdvertise.String()),
 	})
 	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
-		Places: d.knowledge.places, Logger: d.logger, TakeOver: d.settings.Hosted.LeaseTime,
+		Places: d.knowledge.places, Logger: d.log("upgrader"), TakeOver: d.settings.Hosted.LeaseTime,
 	})}
 }
 
@@ -192,7 +222,7 @@
 		{Prefix: platform.TargetsPrefix, Sink: k.targets, Wait: targetsWait},
 		{Prefix: daemonsPrefix, Sink: tracker.Split{upgrader.KeyPrefix: d.duties.upgrader, hostsPrefix: k.peers}, Wait: dutyWait},
 	} {
-		settings.Store, settings.Logger = d.store, d.logger
+		settings.Store, settings.Logger = d.store, d.log("follower")
 		k.followers = append(k.followers, follower.New(settings))
 	}
 	k.contact = k.followers[0]
@@ -219,15 +249,21 @@
 	group.Add(d.peers.Close())
 	group.Add(d.targets.Close())
 	group.Add(d.store.Close())
-	d.logger.Info("daemon stopped", "error", cmp.Or(group.Err(), nil))
+	d.logger.Info("daemon stopped", "error", group.Err())
+	group.Add(d.observer.Close())
+	group.Add(d.logs.Close())
 	return group.Err()
 }
 
 func (d *Daemon) newRelayer(k *knowledge) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Knowledge: k, Places: k.places, Targets: d.targets, Codec: platform.Codec{},
-		Budget: newBudgets(d.settings.Hosted), Logger: d.logger,
-		KeyBound:    d.settings.Hosted.KeyRevocation - keyMargin,
-		DenialBound: d.settings.Hosted.ConfigurationSpread,
+		Knowledge: k, Places: k.places, Targets: d.targets, Codec: platform.Codec{}, Strikes: k.strikes,
+		Budget: newBudgets(d.hosted.Load, k.places.Peers), Logger: d.log("relayer"), Bounds: d.bounds, Observe: d.count,
 	})
 }
+
+// bounds are those of the settings in force.
+func (d *Daemon) bounds() relayer.Bounds {
+	hosted := d.hosted.Load()
+	return relayer.Bounds{Key: hosted.KeyRevocation - keyMargin, Denial: hosted.ConfigurationSpread}
+}
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -41,6 +41,7 @@
 	relayer *relayer.Relayer
 	callers *http.Server
 	ready   *http.Server
+	metrics *http.Server
 	group   conc.WaitGroup
 	open    atomic.Int64
 	idle    idleConnections
@@ -59,12 +60,16 @@
 	questions := httprouter.New()
 	questions.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { e.answerReady(w) })
 	e.ready = &http.Server{Handler: questions, ReadHeaderTimeout: headerTimeout}
+	e.metrics = &http.Server{Handler: d.observer.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	if err := e.listen(e.callers, d.settings.CallersListen); err != nil {
 		return nil, err
 	}
 	if err := e.listen(e.ready, d.settings.Hosted.ReadyListen); err != nil {
 		return nil, errors.Join(err, e.callers.Close())
 	}
+	if err := e.listen(e.metrics, d.settings.Hosted.MetricsListen); err != nil {
+		return nil, errors.Join(err, e.callers.Close(), e.ready.Close())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	e.group.Go(func() { e.closeIdle(ctx) })
@@ -97,7 +102,7 @@
 // lets it take keys, and does not stop.
 func (e *edge) answerReady(w http.ResponseWriter) {
 	k := e.daemon.knowledge
-	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.settings.Hosted.KeyRevocation*3/5 {
+	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.hosted.Load().KeyRevocation*3/5 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -149,7 +154,7 @@
 
 // shutdown lets the balancer take the daemon out, then waits for open requests.
 func (e *edge) shutdown() error {
-	deadline := time.Now().Add(e.daemon.settings.Hosted.StopBound - stopMargin)
+	deadline := time.Now().Add(e.daemon.hosted.Load().StopBound - stopMargin)
 	time.Sleep(leaveTime)
 	e.closed.Store(true)
 	e.idle.closeOlder(0)
@@ -161,7 +166,7 @@
 		}
 	}
 	e.stop()
-	err := errors.Join(e.callers.Close(), e.ready.Close())
+	err := errors.Join(e.callers.Close(), e.ready.Close(), e.metrics.Close())
 	e.group.Wait()
 	return err
 }
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/rosemaryrill/rosemaryrill/convictor"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
@@ -15,6 +16,7 @@
 	fieldLoad    protowire.Number = 2
 	fieldHolding protowire.Number = 3
 	fieldNaming  protowire.Number = 4
+	fieldStrike  protowire.Number = 5
 
 	fieldTarget   protowire.Number = 1
 	fieldRequests protowire.Number = 2
@@ -26,6 +28,8 @@
 	fieldModel   protowire.Number = 1
 	fieldVersion protowire.Number = 2
 	fieldAgeMS   protowire.Number = 3
+	fieldRequest protowire.Number = 1
+	fieldLife    protowire.Number = 2
 )
 
 var errMalformed = errors.New("malformed message")
@@ -45,6 +49,9 @@
 	for _, naming := range news.Namings {
 		head = appendNaming(head, naming)
 	}
+	for _, strike := range news.Strikes {
+		head = appendNumbers(head, fieldStrike, strike.Request, strike.Incarnation)
+	}
 	message := append([]byte(nil), head...)
 	for _, holding := range news.Holdings {
 		if len(message) > maxDatagram && len(message) > len(head) {
@@ -97,6 +104,8 @@
 			news.Loads = append(news.Loads, object.load())
 		case fieldHolding:
 			news.Holdings = append(news.Holdings, object.holding())
+		case fieldStrike:
+			news.Strikes = append(news.Strikes, object.strike())
 		case fieldNaming:
 			news.Namings = append(news.Namings, object.naming())
 		}
@@ -169,6 +178,10 @@
 	return placer.Holding{Target: placer.TargetHash(o.numbers[fieldTarget]), Key: o.numbers[fieldKey], Tokens: int(o.numbers[fieldTokens])}
 }
 
+func (o object) strike() convictor.Strike {
+	return convictor.Strike{Request: o.numbers[fieldRequest], Incarnation: o.numbers[fieldLife]}
+}
+
 func (o object) naming() placer.Naming {
 	return placer.Naming{
 		Model: o.text, Version: int64(o.numbers[fieldVersion]), Age: time.Duration(o.numbers[fieldAgeMS]) * time.Millisecond,
--- a/cmd/rilld/serve.go
+++ b/cmd/rilld/serve.go
@@ -32,6 +32,7 @@
 }
 
 func serve(ctx context.Context, command *cli.Command) error {
+	reloads := notifyReloads()
 	settings, err := loader.Load(command.String("config"))
 	if err != nil {
 		return describe(err)
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	followSettings(ctx, reloads, command.String("config"), daemon.Reload, daemon.ReloadFailed)
 	return daemon.Shutdown()
 }
 
--- a/observer/metrics.go
+++ b/observer/metrics.go
@@ -25,6 +25,7 @@
 type Metrics struct {
 	requests     metric.Int64Counter
 	attempts     metric.Int64Counter
+	results      metric.Int64Counter
 	tokens       metric.Int64Counter
 	cachedTokens metric.Int64Counter
 	promptTokens metric.Int64Counter
@@ -52,6 +53,7 @@
 	m = &Metrics{
 		requests:     counter("rill_requests", "Requests of callers by kind and outcome."),
 		attempts:     counter("rill_attempts", "Attempts at targets by result."),
+		results:      counter("rill_results", "Requests of callers on a hosting platform by result."),
 		tokens:       counter("rill_tokens", "Generated tokens that were delivered."),
 		cachedTokens: counter("rill_cached_tokens", "Prompt tokens that engines took from their cache."),
 		promptTokens: counter("rill_prompt_tokens", "Prompt tokens of all requests."),
@@ -86,6 +88,11 @@
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
 }
 
+// Result counts a request that has ended by its result, such as the reason of a refusal.
+func (m *Metrics) Result(result string) {
+	m.results.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result)))
+}
+
 // Answer counts what an engine reported of an answer.
 func (m *Metrics) Answer(model string, promptTokens, cachedTokens, tokens int, firstToken time.Duration) {
 	attributes := metric.WithAttributes(attribute.String("model", model))
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/convictor"
 )
 
 // TargetHash names an incarnation of a target in the messages between daemons.
@@ -39,10 +41,11 @@
 	Loads    []Load
 	Holdings []Holding
 	Namings  []Naming
+	Strikes  []convictor.Strike
 }
 
 // Empty says that there is nothing that must be told at once.
-func (n News) Empty() bool { return len(n.Loads) == 0 && len(n.Holdings) == 0 }
+func (n News) Empty() bool { return len(n.Loads) == 0 && len(n.Holdings) == 0 && len(n.Strikes) == 0 }
 
 // peer is what another daemon has at the targets.
 type peer struct {
@@ -59,8 +62,9 @@
 	maxHoldings = 512
 )
 
-func hashOf(described Target) TargetHash {
-	return TargetHash(xxh3.HashStringSeed(described.ID, uint64(described.Started.UnixMilli())))
+// Hash names the incarnation in the messages between daemons.
+func (t Target) Hash() TargetHash {
+	return TargetHash(xxh3.HashStringSeed(t.ID, uint64(t.Started.UnixMilli())))
 }
 
 // toldNamings bounds the namings of a model that are told.
@@ -127,6 +131,13 @@
 	}
 }
 
+// Alive says whether an incarnation of a target is known.
+func (p *Placer) Alive(incarnation uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byHash[TargetHash(incarnation)] != nil
+}
+
 // Peers returns how many other daemons were heard of lately.
 func (p *Placer) Peers() int {
 	p.mu.Lock()
--- a/placer/target.go
+++ b/placer/target.go
@@ -93,7 +93,7 @@
 }
 
 func newTarget(described Target) *target {
-	return &target{Target: described, hash: hashOf(described), cached: newParts()}
+	return &target{Target: described, hash: described.Hash(), cached: newParts()}
 }
 
 // describe takes over what the target says of itself. Versions only grow: the description lags
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -134,13 +134,13 @@
 		return u.callerLeft(err)
 	}
 	if whole {
-		u.result = "answered"
+		u.result = ResultAnswered
 		return answered
 	}
 	if _, err := io.Copy(u.writer, response.Body); err != nil {
 		return u.brokenAnswer(ctx, choice, err)
 	}
-	u.result = "answered"
+	u.result = ResultAnswered
 	return answered
 }
 
@@ -188,7 +188,7 @@
 // callerLeft ends a run whose caller takes no more.
 func (u *run) callerLeft(err error) verdict {
 	u.cause = err
-	u.result = "caller_left"
+	u.result = ResultCallerLeft
 	u.abort = true
 	return answered
 }
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -94,12 +94,12 @@
 	return w
 }
 
-func (w *world) Catalog() *cataloger.Catalog { return w.catalog }
-func (w *world) ContactAge() time.Duration   { return w.age }
-func (w *world) Deposit(string)              {}
-func (w *world) Withdraw(string) bool        { w.budget--; return w.budget >= 0 }
-func (w *world) Convicted(uint64) bool       { return w.convict }
-func (w *world) Strike(fingerprint uint64)   { w.strikes[fingerprint]++ }
+func (w *world) Catalog() *cataloger.Catalog  { return w.catalog }
+func (w *world) ContactAge() time.Duration    { return w.age }
+func (w *world) Deposit(string)               {}
+func (w *world) Withdraw(string) bool         { w.budget--; return w.budget >= 0 }
+func (w *world) Convicted(uint64) bool        { return w.convict }
+func (w *world) Strike(fingerprint, _ uint64) { w.strikes[fingerprint]++ }
 func (w *world) Refuse(rw http.ResponseWriter, refusal relayer.Refusal) {
 	rw.Header().Set("Reason", string(refusal.Reason))
 	if refusal.NotRun {
@@ -172,7 +172,7 @@
 func (w *world) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
 		Knowledge: w, Places: w, Targets: w, Codec: w, Budget: w, Strikes: w,
-		KeyBound: 4 * time.Second, DenialBound: 2 * time.Second,
+		Bounds: func() relayer.Bounds { return relayer.Bounds{Key: 4 * time.Second, Denial: 2 * time.Second} },
 	})
 	recorder := httptest.NewRecorder()
 	func() {
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -26,6 +26,12 @@
 	ReasonDeadline        Reason = "deadline"
 )
 
+// The results of requests that were not refused and did not fail.
+const (
+	ResultAnswered   = "answered"
+	ResultCallerLeft = "caller_left"
+)
+
 // Refusal is what a caller is told instead of a target's answer.
 type Refusal struct {
 	Status int
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -125,7 +125,7 @@
 // Strikes counts the targets that broke while they ran a request.
 type Strikes interface {
 	Convicted(fingerprint uint64) bool
-	Strike(fingerprint uint64)
+	Strike(fingerprint, incarnation uint64)
 }
 
 // Settings are the parameters of a Relayer. All but Logger and Strikes are needed.
@@ -137,22 +137,32 @@
 	Budget    Budget
 	Strikes   Strikes
 	Logger    *slog.Logger
-	// KeyBound is the age of contact beyond which no request with a key is sent.
-	KeyBound time.Duration
-	// DenialBound is the age of contact beyond which an unknown route or key may be newer than
-	// the daemon's configuration.
-	DenialBound time.Duration
+	// Bounds are asked for with each request, since settings may change.
+	Bounds func() Bounds
 	// Observe takes the outcome of each request.
 	Observe func(Outcome)
 }
 
+// Bounds limit what is done without contact to the platform's store.
+type Bounds struct {
+	// Key is the age of contact beyond which no request with a key is sent.
+	Key time.Duration
+	// Denial is the age of contact beyond which an unknown route or key may be newer than the
+	// daemon's configuration.
+	Denial time.Duration
+}
+
 // Outcome is how a request ended, for metrics.
 type Outcome struct {
-	Route    string
+	Repeat   cataloger.Repeat
 	Result   string
+	NotRun   bool
 	Attempts int
 	First    time.Duration
 	Total    time.Duration
+	// Read and Prompt are the prompt tokens that the target was expected to read, and all of them.
+	Read   int
+	Prompt Prompt
 }
 
 // Relayer relays requests. Its methods are safe for concurrent use.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -114,7 +114,8 @@
 		return elsewhere(ReasonNoConfiguration, settleTime)
 	}
 	contactAge := settings.Knowledge.ContactAge()
-	stale := contactAge > settings.DenialBound
+	bounds := settings.Bounds()
+	stale := contactAge > bounds.Denial
 	route, found := catalog.Match(u.call.Host, u.call.Path)
 	if !found && stale {
 		return elsewhere(ReasonNoContact, contactRetry)
@@ -124,7 +125,7 @@
 	}
 	u.account = nil
 	if catalog.Keyed() && !route.Anonymous {
-		if contactAge > settings.KeyBound {
+		if contactAge > bounds.Key {
 			return elsewhere(ReasonNoContact, contactRetry)
 		}
 		account, known := catalog.Account(u.call.Key)
@@ -228,7 +229,7 @@
 		return notRun(ReasonShed, shedRetry)
 	}
 	if ended == broken {
-		u.relayer.strike(u.fingerprint())
+		u.relayer.strike(u.fingerprint(), choice.Target)
 	}
 	mayRepeat := u.route.Repeatable() && u.runs < u.route.MaxAttempts && u.sends < maxSends
 	if mayRepeat && u.relayer.settings.Budget.Withdraw(u.service) {
@@ -254,7 +255,7 @@
 	u.result = string(refusal.Reason)
 	u.status = refusal.Status
 	if u.ctx.Err() != nil {
-		u.result = "caller_left"
+		u.result = ResultCallerLeft
 		u.abort = true
 		return
 	}
@@ -264,17 +265,21 @@
 // report logs the request and counts it.
 func (u *run) report() {
 	total := time.Since(u.call.Arrived)
-	outcome := Outcome{Result: u.result, Attempts: u.sends, First: u.first, Total: total}
+	outcome := Outcome{
+		Result: u.result, NotRun: u.runs == 0, Attempts: u.sends, First: u.first, Total: total,
+		Read: u.choice.Read, Prompt: u.call.Prompt,
+	}
 	var configuration int64
 	if catalog := u.relayer.settings.Knowledge.Catalog(); catalog != nil {
 		configuration = catalog.Version()
 	}
+	route := ""
 	if u.route != nil {
-		outcome.Route = u.route.Name
+		route, outcome.Repeat = u.route.Name, u.route.Repeat
 	}
 	u.relayer.settings.Observe(outcome)
 	u.relayer.settings.Logger.Info("request",
-		"id", u.call.ID, "result", u.result, "status", u.status, "route", outcome.Route, "service", u.service,
+		"id", u.call.ID, "result", u.result, "status", u.status, "route", route, "service", u.service,
 		"target", u.target, "weights", u.version, "expected_ms", u.choice.Expected.Milliseconds(),
 		"read", u.choice.Read, "ahead", u.choice.Ahead, "in_hand", u.choice.Requests,
 		"fetch_from", addressText(u.choice.FetchFrom), "sends", u.sends, "runs", u.runs,
@@ -301,8 +306,8 @@
 	return r.settings.Strikes != nil && r.settings.Strikes.Convicted(fingerprint)
 }
 
-func (r *Relayer) strike(fingerprint uint64) {
+func (r *Relayer) strike(fingerprint uint64, target placer.Target) {
 	if r.settings.Strikes != nil {
-		r.settings.Strikes.Strike(fingerprint)
+		r.settings.Strikes.Strike(fingerprint, uint64(target.Hash()))
 	}
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -58,7 +58,7 @@
 	if !u.begun {
 		u.begin(response)
 	}
-	u.result = "answered"
+	u.result = ResultAnswered
 	return answered
 }
 
