--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -123,6 +124,8 @@
 	started   time.Time
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
+	closing   sync.Once
+	closed    error
 }
 
 // New starts a daemon.
@@ -228,14 +231,27 @@
 	k.contact = k.followers[0]
 }
 
+// Close stops the daemon at once and waits until all of it has ended. After Shutdown it does nothing.
+func (d *Daemon) Close() (err error) {
+	defer Error.WrapP(&err)
+	d.closing.Do(func() {
+		d.stopping.Store(true)
+		d.closed = errs.Combine(d.duties.upgrader.Close(), d.edge.close(), d.close())
+	})
+	return d.closed
+}
+
 // Shutdown stops the daemon without cutting a request that can end in time.
 func (d *Daemon) Shutdown() (err error) {
 	defer Error.WrapP(&err)
-	d.stopping.Store(true)
-	d.logger.Info("daemon stopping", "bound", d.settings.Hosted.StopBound)
-	err = d.duties.upgrader.Close()
-	err = errs.Combine(err, d.edge.shutdown())
-	return errs.Combine(err, d.close())
+	d.closing.Do(func() {
+		d.stopping.Store(true)
+		d.logger.Info("daemon stopping", "bound", d.hosted.Load().StopBound)
+		d.closed = d.duties.upgrader.Close()
+		d.edge.leave()
+		d.closed = errs.Combine(d.closed, d.edge.close(), d.close())
+	})
+	return d.closed
 }
 
 func (d *Daemon) close() error {
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -152,8 +152,8 @@
 	panic(http.ErrAbortHandler) // The caller has left or sent no whole request.
 }
 
-// shutdown lets the balancer take the daemon out, then waits for open requests.
-func (e *edge) shutdown() error {
+// leave lets the balancer take the daemon out, then waits for open requests.
+func (e *edge) leave() {
 	deadline := time.Now().Add(e.daemon.hosted.Load().StopBound - stopMargin)
 	time.Sleep(leaveTime)
 	e.closed.Store(true)
@@ -162,9 +162,13 @@
 	defer cancel()
 	for e.open.Load() > 0 {
 		if !waiter.Pause(ctx, stopCheck) {
-			break
+			return
 		}
 	}
+}
+
+// close closes all ports and waits.
+func (e *edge) close() error {
 	e.stop()
 	err := errors.Join(e.callers.Close(), e.ready.Close(), e.metrics.Close())
 	e.group.Wait()
--- /dev/null
+++ b/assembler/fleet_test.go
@@ -0,0 +1,229 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/assembler"
+	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+	"github.com/rosemaryrill/rosemaryrill/loader"
+)
+
+const (
+	host     = "app.example"
+	goodKey  = "key-1"
+	model    = "m"
+	loopback = "127.0.0.1:0"
+	// patience bounds waits for things that happen soon.
+	patience = 10 * time.Second
+)
+
+// fleet is whole daemons among stand-ins.
+type fleet struct {
+	t        *testing.T
+	store    *hostingemulator.Store
+	engines  []*hostingemulator.Target
+	services []*hostingemulator.Target
+	daemons  []*daemon
+	version  int64
+	client   *http.Client
+}
+
+type daemon struct {
+	*assembler.Daemon
+	callers, ready, metrics netip.AddrPort
+	log                     *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buffer.String()
+}
+
+func newFleet(t *testing.T, daemons int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: hostingemulator.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	listen := netip.MustParseAddrPort(loopback)
+	if err := f.store.Listen(listen); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.store.Close() })
+	f.configure(nil, goodKey)
+	for i := range 3 {
+		f.engines = append(f.engines, f.target(fmt.Sprintf("engine-%d", i), "engines", model))
+	}
+	for i := range 2 {
+		f.services = append(f.services, f.target(fmt.Sprintf("service-%d", i), "services", ""))
+	}
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.start(i))
+	}
+	return f
+}
+
+func (f *fleet) target(id, service, model string) *hostingemulator.Target {
+	target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
+		ID: id, Service: service, Zone: "north", Store: f.store, Model: model, Slots: 8, Events: 6,
+		Step: 5 * time.Millisecond, LoadTime: 200 * time.Millisecond,
+	})
+	if err := target.Listen(netip.MustParseAddrPort(loopback)); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = target.Close() })
+	return target
+}
+
+// configure writes the next version of the configuration, with further routes.
+func (f *fleet) configure(further []string, keys ...string) {
+	f.version += 3
+	route := func(name, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": 3000,
+			"targetLatencyMs": 1000, "targetGapMs": 500, "maxAttempts": 2, "priority": 0, "sticky": service == "engines", "resumable": resumable,
+		}
+	}
+	routes := []any{
+		route("ask", "streaming", "engines", true), route("tell", "streaming", "engines", false),
+		route("order", "non_idempotent", "services", false), route("look", "idempotent", "services", false),
+	}
+	for _, name := range further {
+		routes = append(routes, route(name, "idempotent", "services", false))
+	}
+	f.store.Put("op/config", map[string]any{
+		"version": f.version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": "engines", "maxConnections": 50, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": model}}}},
+			map[string]any{"name": "services", "maxConnections": 50},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys, "isolated": true}, map[string]any{"name": "account-2", "apiKeys": []string{"key-2"}}},
+	})
+}
+
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (f *fleet) start(i int) *daemon {
+	f.t.Helper()
+	settings := loader.DefaultSettings()
+	settings.Name, settings.DataCentre = fmt.Sprintf("daemon-%d", i), "north"
+	settings.CallersListen, settings.PeersListen = freePort(f.t), freePort(f.t)
+	settings.PeersAdvertise = settings.PeersListen
+	settings.Platform = []netip.AddrPort{f.store.Address()}
+	settings.Log.Format = loader.LogJSON
+	settings.Hosted.ReadyListen, settings.Hosted.MetricsListen = freePort(f.t), freePort(f.t)
+	d := &daemon{callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}}
+	var err error
+	d.Daemon, err = assembler.New(context.WithoutCancel(f.t.Context()), assembler.Settings{Settings: settings, LogOutput: d.log})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = d.Close() })
+	f.await("daemon ready", func() bool { return f.get(d.ready, "/readyz") == http.StatusOK })
+	return d
+}
+
+// await waits until the condition holds.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %s: %s", patience, what)
+}
+
+func (f *fleet) get(address netip.AddrPort, path string) int {
+	response, err := f.client.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a request with headers given as pairs.
+func (f *fleet) call(d *daemon, method, path, id, body string, header ...string) (r reply) {
+	request, err := http.NewRequest(method, "http://"+d.callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = host
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("Authorization", "Token "+goodKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+// ask sends a model call.
+func (f *fleet) ask(d *daemon, route, id string, header ...string) reply {
+	return f.call(d, http.MethodPost, "/"+route+"/x", id, "prompt", append([]string{
+		"X-Model", model, "X-Token-Count", "300,6", "X-Prompt-Prefix", "ab:200,cd:100",
+	}, header...)...)
+}
+
+// whole is the stream of a request.
+func whole(id string) string {
+	var b strings.Builder
+	for i := 1; i <= 6; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+func runs(targets []*hostingemulator.Target, id string) (found []hostingemulator.Run) {
+	for _, target := range targets {
+		for _, run := range target.Runs() {
+			if run.ID == id {
+				found = append(found, run)
+			}
+		}
+	}
+	return found
+}
--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -113,7 +113,10 @@
 		})
 	}
 	if err != nil {
-		u.settings.Logger.Warn("plan not told", "error", err)
+		u.settings.Logger.Warn("plan not told for certain", "error", err)
+		u.mu.Lock()
+		u.dirty = true // The next step tells it again.
+		u.mu.Unlock()
 	}
 }
 
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -129,6 +129,10 @@
 	// turn is how long after that this daemon tries to take the duty.
 	turn    time.Duration
 	started time.Time
+	// claim is the last attempt to take the duty.
+	claim claim
+	// stopped says that the daemon takes no duty any more.
+	stopped bool
 	// lastOrder is when this daemon gave its last order.
 	lastOrder clocker.Instant
 	// fence is the version of the duty's key while this daemon holds it.
@@ -184,7 +188,11 @@
 	u.cancel()
 	u.tasks.Wait()
 	u.orders.Wait()
-	if !u.holding() {
+	holding := u.holding()
+	u.mu.Lock()
+	u.stopped = true
+	u.mu.Unlock()
+	if !holding {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
@@ -305,7 +313,13 @@
 	}
 	u.mu.Lock()
 	former, known := u.seen[formerKey]
+	before := decodeFormer(former.Value)
+	wait := time.Duration(0)
+	if known && before.name != u.settings.Name {
+		wait = max(u.settings.TakeOver-before.quiet, 0)
+	}
 	u.lost = time.Time{}
+	u.claim = claim{lease: lease, former: before.name, from: u.settings.Now().Add(wait)}
 	u.mu.Unlock()
 	version, err := u.settings.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: holderKey}},
@@ -319,18 +333,39 @@
 		return // Another daemon was first.
 	}
 	if err != nil {
-		u.settings.Logger.Warn("duty not taken", "error", err)
-		return
+		u.settings.Logger.Warn("duty not taken for certain", "error", err)
+		return // The key tells, once it is seen.
 	}
-	before := decodeFormer(former.Value)
-	wait := time.Duration(0)
-	if known && before.name != u.settings.Name {
-		wait = max(u.settings.TakeOver-before.quiet, 0)
+	u.hold(version)
+}
+
+// claim is the last attempt of this daemon to take the duty.
+type claim struct {
+	lease  storer.LeaseID
+	former string
+	// from is when the first order may be given.
+	from clocker.Instant
+}
+
+// hold makes this daemon the holder under the key of the version.
+func (u *Upgrader) hold(fence storer.Version) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.fence != 0 || u.stopped {
+		return
 	}
+	u.fence, u.lease, u.began = fence, u.claim.lease, u.claim.from
+	u.settings.Logger.Info("duty taken", "fence", fence, "former", u.claim.former,
+		"first_order_after_ms", u.began.Sub(u.settings.Now()).Milliseconds())
+}
+
+// claimed says whether the key was written by the last attempt of this daemon, whose answer may have
+// been lost.
+func (u *Upgrader) claimed(holder storer.Item) bool {
+	lease, held := u.settings.Lease.Held()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fence, u.lease, u.began = version, lease, u.settings.Now().Add(wait)
-	u.settings.Logger.Info("duty taken", "fence", version, "former", before.name, "first_order_after", wait)
+	return held && u.fence == 0 && string(holder.Value) == u.settings.Name && holder.Lease == lease && lease == u.claim.lease
 }
 
 // standDown gives the duty up in this daemon's mind; the store drops the key with the lease.
@@ -384,6 +419,10 @@
 		u.standDown("another daemon has taken it")
 		fence = 0
 	}
+	if taken && u.claimed(holder) {
+		u.hold(holder.Version)
+		fence = holder.Version
+	}
 	if fence == 0 && taken {
 		u.follow(plan.Value)
 	}
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -35,12 +35,14 @@
 	items    map[string]storer.Item
 	revision storer.Version
 	// cut names daemons that do not reach the store.
-	cut      map[string]bool
-	daemons  map[string]*daemon
-	wanted   int64
-	engines  map[string]*engine
-	orders   []given
-	problems []string
+	cut     map[string]bool
+	daemons map[string]*daemon
+	// loseWrites is how many commits are carried out without an answer.
+	loseWrites int
+	wanted     int64
+	engines    map[string]*engine
+	orders     []given
+	problems   []string
 }
 
 // given is an order that reached an engine.
@@ -192,8 +194,15 @@
 		delete(f.items, key)
 		events = append(events, storer.Event{Kind: storer.EventDelete, Item: storer.Item{Key: key, Version: version}})
 	}
+	lost := f.loseWrites > 0
+	if lost {
+		f.loseWrites--
+	}
 	f.mu.Unlock()
 	f.tell(events)
+	if lost {
+		return 0, &storer.UnknownOutcomeError{Key: transaction.Name(), Cause: errors.New("the answer was lost")}
+	}
 	return version, nil
 }
 
@@ -380,6 +389,25 @@
 	}, "a", "b", "c")
 }
 
+// A daemon that took the duty without hearing so finds its own name there.
+func TestLostAnswerToTheClaimOfTheDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6, "a", "b")
+		f.loseWrites = 3
+		f.start(t.Context())
+		f.want(2)
+		time.Sleep(12 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
+			t.Errorf("the engines have %v, the holder is %q", versions, f.holder())
+		}
+		f.close()
+		synctest.Wait()
+		if len(f.problems) > 0 {
+			t.Error(strings.Join(f.problems, "\n"))
+		}
+	})
+}
+
 func TestLostAnswerToAnOrderIsSettledByTheReport(t *testing.T) {
 	inVirtualTime(t, 2, func(f *fleet) {
 		f.mu.Lock()
