placer, poller: cache events of engines and the store are followed; refused requests leave no belief behind

Cause: fetches from a holder that was last used 3 s before or longer took as long as reading (median +300 ms against +60 ms), and 31 fetches came from engines that had never had the prompt: a choice that was refused as too late, shed or broken was remembered, and told to all, as if the prompt had been read. Change: one daemon of the data centre asks each engine and the store for cache events and tells the others of parts of 1,000 tokens or more (the poller is generic over the form of events); whether a call is in time is decided before anything is noted; shed and broken attempts take their parts back.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -16,7 +16,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -121,6 +120,7 @@
 	duties    duties
 	edge      *edge
 	peers     *broadcaster.Broadcaster
+	caches    caches
 	started   time.Time
 	stopping  atomic.Bool
 	cancel    context.CancelFunc
@@ -150,6 +150,7 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.knowledge = d.newKnowledge()
 	d.duties = d.newDuties()
+	d.caches.poller = d.newPoller()
 	d.peers, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge, Logger: d.log("broadcaster"),
 	})
@@ -185,6 +186,7 @@
 		Accepted: func(catalog *cataloger.Catalog) {
 			k.places.SetEngines(engines(catalog))
 			k.places.SetStore(partStore(catalog))
+			d.caches.setStore(catalog)
 		},
 		Wanted: func(weights tracker.Weights) {
 			d.logger.Info("weights wanted", "model", weights.Model, "version", weights.Version)
@@ -194,11 +196,11 @@
 		Logger: d.log("tracker"),
 	})
 	k.targets = tracker.NewTargets(tracker.TargetSettings{
-		Decode: platform.DecodeTarget, Changed: k.places.SetTargets, Logger: d.log("tracker"),
+		Decode: platform.DecodeTarget, Changed: d.targetsChanged, Logger: d.log("tracker"),
 	})
 	k.peers = tracker.NewPeers(tracker.PeersSettings{
 		Own: d.settings.PeersAdvertise, Logger: d.log("tracker"),
-		Changed: func(peers []netip.AddrPort) { d.peers.SetPeers(peers) },
+		Changed: d.peersChanged,
 	})
 	return k
 }
@@ -209,7 +211,7 @@
 func (d *Daemon) newDuties() duties {
 	lease := leaser.New(leaser.Settings{
 		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.log("leaser"),
-		Key: hostsPrefix + d.settings.Name, Value: []byte(d.settings.PeersAdvertise.String()),
+		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
 	})
 	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
@@ -262,6 +264,7 @@
 	}
 	group.Add(d.knowledge.targets.Close())
 	group.Add(d.duties.lease.Close())
+	group.Add(d.caches.poller.Close())
 	group.Add(d.peers.Close())
 	group.Add(d.targets.Close())
 	group.Add(d.store.Close())
--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -183,6 +183,15 @@
 	Next        uint64
 }
 
+// Life names the incarnation of the engine.
+func (c CacheEvents) Life() string { return c.Incarnation }
+
+// Following is the place behind the events.
+func (c CacheEvents) Following() uint64 { return c.Next }
+
+// Count is the number of events.
+func (c CacheEvents) Count() int { return len(c.Events) }
+
 type wireCacheEvents struct {
 	Incarnation string           `json:"incarnation"`
 	Events      []wireCacheEvent `json:"events"`
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -79,6 +79,9 @@
 	if err != nil {
 		return Choice{}, err
 	}
+	if call.Within > 0 && best.expected > call.Within {
+		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Within: call.Within}
+	}
 	return Choice{
 		Target:    best.target.snapshot(),
 		Version:   best.version,
@@ -312,14 +315,17 @@
 		return nil
 	}
 	keys := make([]partKey, 0, len(c.Parts)-1)
-	chain := xxh3.HashString(c.Model + "/" + c.Wall + "/" + strconv.FormatInt(version, 10))
 	for _, part := range c.Parts[:len(c.Parts)-1] {
-		chain = xxh3.HashStringSeed(part.ID, chain)
-		keys = append(keys, partKey(chain))
+		keys = append(keys, partKey(PartKey(c.Model, c.Wall, version, part.ID)))
 	}
 	return keys
 }
 
+// PartKey names a part in the messages between daemons and in cache events.
+func PartKey(model, wall string, version int64, id string) uint64 {
+	return xxh3.HashStringSeed(id, xxh3.HashString(model+"/"+wall+"/"+strconv.FormatInt(version, 10)))
+}
+
 func (c Call) sharedTokens() (tokens int) {
 	for _, part := range c.Parts[:max(len(c.Parts)-1, 0)] {
 		tokens += part.Tokens
@@ -330,13 +336,18 @@
 // ownTokens is the memory that the call needs beside the shared parts.
 func (c Call) ownTokens() int { return c.PromptTokens - c.sharedTokens() + c.OutputTokens }
 
+// blockTokens is the size of the blocks in which engines keep parts: less than one may be missing
+// from the end of a part that is there.
+const blockTokens = 16
+
 // cachedTokens counts the tokens of the prompt that are held from its beginning on.
 func (c Call) cachedTokens(held *parts, keys []partKey) (tokens int) {
 	for i, key := range keys {
-		if !held.has(key) {
+		there := min(held.held(key), c.Parts[i].Tokens)
+		tokens += there
+		if there+blockTokens <= c.Parts[i].Tokens {
 			break
 		}
-		tokens += c.Parts[i].Tokens
 	}
 	return tokens
 }
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -13,6 +13,8 @@
 	work   work
 	alone  bool
 	began  time.Time
+	// placed are the parts that the target was not known to hold before.
+	placed []partKey
 
 	mu      sync.Mutex
 	started bool
@@ -28,15 +30,19 @@
 	f.work.unread[call.Urgency] = best.read + requestTokens(call)
 	f.alone = t.load().unread.total() == 0 && best.fetched == 0
 	t.own.add(f.work)
-	p.place(t, call, best, now)
+	f.placed = p.place(t, call, best, now)
 	return f
 }
 
-// place notes what the target will hold of the call, and what goes to or comes from the store.
-func (p *Placer) place(t *target, call Call, best candidate, now time.Time) {
+// place notes what the target will hold of the call, and what goes to or comes from the store. It
+// returns the parts that are new there.
+func (p *Placer) place(t *target, call Call, best candidate, now time.Time) (placed []partKey) {
 	keys := call.keys(best.version)
 	bound := p.cacheBound(t)
 	for i, key := range keys {
+		if t.cached.held(key) == 0 {
+			placed = append(placed, key)
+		}
 		t.cached.use(key, call.Parts[i].Tokens, bound)
 		p.tell(t.hash, key, call.Parts[i].Tokens)
 	}
@@ -50,6 +56,7 @@
 		p.saved(call, keys)
 		p.store.occupy(daemons*p.store.transfer(engine, call.sharedTokens()), now)
 	}
+	return placed
 }
 
 // placeOwn notes the part that belongs to the call alone: it takes room though nobody asks for it
@@ -69,9 +76,9 @@
 	p.tell(t.hash, key, tokens)
 }
 
-// cacheBound is how many tokens of parts an engine is expected to keep beside its running requests.
+// cacheBound is how many tokens of parts an engine is expected to keep at most.
 func (p *Placer) cacheBound(t *target) int {
-	return int(cacheShare*float64(p.engines[t.Service].CacheTokens)) - t.load().held
+	return int(cacheShare * float64(p.engines[t.Service].CacheTokens))
 }
 
 // load is the work of this daemon and its peers at a target.
@@ -128,12 +135,27 @@
 
 // Shed notes that the target refused the request without running it.
 func (f *Flight) Shed() {
-	f.note(func(t *target, now time.Time) { t.shedUntil = now.Add(shedPause) })
+	f.note(func(t *target, now time.Time) {
+		t.shedUntil = now.Add(shedPause)
+		f.unplace(t)
+	})
+}
+
+// unplace takes back that the target will hold the parts of a request that it does not run.
+func (f *Flight) unplace(t *target) {
+	for _, key := range f.placed {
+		t.cached.set(key, 0)
+		f.placer.tell(t.hash, key, 0)
+	}
+	f.placed = nil
 }
 
 // Broke notes that the connection to the target broke or could not be made.
 func (f *Flight) Broke() {
-	f.note((*target).broke)
+	f.note(func(t *target, now time.Time) {
+		t.broke(now)
+		f.unplace(t)
+	})
 }
 
 // Left notes that the target takes no more work, or is not the one that was meant.
--- a/placer/parts.go
+++ b/placer/parts.go
@@ -2,7 +2,7 @@
 
 import "container/list"
 
-// partKey names a part under its wall and weights, after all parts before it.
+// partKey names a part under its model, wall and weights.
 type partKey uint64
 
 // parts is what a target is expected to hold, least recently used first to go.
@@ -21,24 +21,39 @@
 	return &parts{order: list.New(), entries: make(map[partKey]*list.Element)}
 }
 
-func (p *parts) has(key partKey) bool {
-	_, held := p.entries[key]
-	return held
+// held counts the tokens of a part that are there, from its beginning on.
+func (p *parts) held(key partKey) int {
+	element, held := p.entries[key]
+	if !held {
+		return 0
+	}
+	return element.Value.(heldPart).tokens
 }
 
 // use adds a part or makes it the most recent one, and lets the oldest go beyond the bound.
 func (p *parts) use(key partKey, tokens, bound int) {
+	p.set(key, tokens)
+	for p.tokens > bound && p.order.Len() > 1 {
+		p.remove(p.order.Front())
+	}
+}
+
+// set makes a part the most recent one, with so many of its tokens there. None removes it.
+func (p *parts) set(key partKey, tokens int) {
 	if element, held := p.entries[key]; held {
-		p.order.MoveToBack(element)
+		p.remove(element)
+	}
+	if tokens <= 0 {
 		return
 	}
 	p.entries[key] = p.order.PushBack(heldPart{key: key, tokens: tokens})
 	p.tokens += tokens
-	for p.tokens > bound && p.order.Len() > 1 {
-		oldest := p.order.Remove(p.order.Front()).(heldPart)
-		delete(p.entries, oldest.key)
-		p.tokens -= oldest.tokens
-	}
+}
+
+func (p *parts) remove(element *list.Element) {
+	removed := p.order.Remove(element).(heldPart)
+	delete(p.entries, removed.key)
+	p.tokens -= removed.tokens
 }
 
 func (p *parts) clear() {
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -22,10 +22,11 @@
 	Held int
 }
 
-// Holding says that a target reads or has read a part of prompts.
+// Holding says how many tokens of a part a target holds, or will when it has read it.
 type Holding struct {
 	Target TargetHash
 	Key    uint64
+	// Tokens are zero where the part is gone.
 	Tokens int
 }
 
@@ -105,11 +106,8 @@
 		p.want(naming.Model, wanted{version: naming.Version, since: now.Add(-naming.Age)})
 	}
 	for _, holding := range news.Holdings {
-		if holding.Target == storeHash {
-			p.store.cached.use(partKey(holding.Key), holding.Tokens, p.store.CacheTokens)
-		}
-		if t := p.byHash[holding.Target]; t != nil {
-			t.cached.use(partKey(holding.Key), holding.Tokens, p.cacheBound(t))
+		if cached, bound := p.cacheOf(holding.Target); cached != nil {
+			cached.use(partKey(holding.Key), holding.Tokens, bound)
 		}
 	}
 	for other, known := range p.peers {
@@ -145,9 +143,20 @@
 	return len(p.peers)
 }
 
+// cacheOf returns what a target or the store holds, and how much it can.
+func (p *Placer) cacheOf(holder TargetHash) (cached *parts, bound int) {
+	if holder == storeHash {
+		return p.store.cached, p.store.CacheTokens
+	}
+	if t := p.byHash[holder]; t != nil {
+		return t.cached, p.cacheBound(t)
+	}
+	return nil, 0
+}
+
 // tell notes a part for the peers.
 func (p *Placer) tell(holder TargetHash, key partKey, tokens int) {
-	if tokens >= toldTokens && len(p.untold) < maxHoldings {
+	if (tokens == 0 || tokens >= toldTokens) && len(p.untold) < maxHoldings {
 		p.untold = append(p.untold, Holding{Target: holder, Key: uint64(key), Tokens: tokens})
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -62,6 +63,8 @@
 	OutputTokens int
 	// Urgency is the rank of the request, below Urgencies; zero is the most urgent.
 	Urgency int
+	// Within is the longest time to the first event that is of use; zero is any.
+	Within time.Duration
 }
 
 // Choice is the target of one attempt.
@@ -91,6 +94,20 @@
 	RetryAfter time.Duration
 }
 
+// NotInTimeError says that every target would take too long.
+type NotInTimeError struct {
+	Service string
+	// Expected is the shortest time to the first event.
+	Expected time.Duration
+	// Within is what the call asked for.
+	Within time.Duration
+}
+
+// Error names the times.
+func (e *NotInTimeError) Error() string {
+	return fmt.Sprintf("service %s is expected to answer after %s, asked within %s", e.Service, e.Expected, e.Within)
+}
+
 // Error names the service.
 func (e *NoTargetError) Error() string {
 	return "no target of service " + e.Service + " can take the call"
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -341,3 +341,61 @@
 		})
 	}
 }
+
+// The pattern: engines let parts go piece by piece while they are busy.
+func TestPartsThatEnginesLetGoAreForgottenByAll(t *testing.T) {
+	f := newFixture(t, 2)
+	peer := f.daemon(2)
+	sent, err := peer.Choose(long("book"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent.Flight.Finished()
+	f.placer.Import("peer", peer.Export())
+	key := placer.PartKey(model, "", 1, "book")
+	for _, tokens := range []int{9_000, 4_000, 500} {
+		peer.ObserveCache(sent.Target.ID, placer.CacheEvents{Changes: []placer.CacheChange{{Key: key, Tokens: tokens}}})
+		f.placer.Import("peer", peer.Export())
+	}
+	for name, p := range map[string]*placer.Placer{"the daemon that asks": peer, "another daemon": f.placer} {
+		choice, err := p.Choose(long("book"), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if choice.Read != 14_000 || choice.FetchFrom.IsValid() {
+			t.Errorf("%s reads %d tokens and fetches from %s", name, choice.Read, choice.FetchFrom)
+		}
+	}
+}
+
+// A request that is refused, shed or broken leaves no belief that its prompt was read.
+func TestPromptsThatWereNotReadAreNotHeld(t *testing.T) {
+	for name, fail := range map[string]func(f *fixture){
+		"too late": func(f *fixture) {
+			call := long("book")
+			call.Within = time.Millisecond
+			_, err := f.placer.Choose(call, nil)
+			var late *placer.NotInTimeError
+			if !errors.As(err, &late) || late.Expected <= late.Within {
+				t.Errorf("a call without time was answered with %v", err)
+			}
+		},
+		"shed":   func(f *fixture) { f.choose(long("book")).Flight.Shed() },
+		"broken": func(f *fixture) { f.choose(long("book")).Flight.Broke() },
+	} {
+		f := newFixture(t, 2)
+		peer := f.daemon(2)
+		fail(f)
+		f.now = f.now.Add(time.Minute)
+		peer.Import("f", f.placer.Export())
+		for _, p := range []*placer.Placer{f.placer, peer} {
+			choice, err := p.Choose(long("book"), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if choice.Read != 14_000 || choice.FetchFrom.IsValid() {
+				t.Errorf("%s: the next one reads %d tokens and fetches from %s", name, choice.Read, choice.FetchFrom)
+			}
+		}
+	}
+}
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	p := poller.New(poller.Settings{Engines: client, Observer: observer, Assigned: assigned})
+//	p := poller.New(poller.Settings[forwarder.CacheEvents]{Engines: client, Observer: observer, Assigned: assigned})
 //	p.SetTargets(targets)
 //	defer p.Close()
 package poller
@@ -20,7 +20,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/rosemaryrill/rosemaryrill/forwarder"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -36,21 +35,31 @@
 	Address netip.AddrPort
 }
 
+// Events is an answer with cache events, in the form of one kind of engine.
+type Events interface {
+	// Life names the incarnation of the engine.
+	Life() string
+	// Following is the place behind the events.
+	Following() uint64
+	// Count is the number of events.
+	Count() int
+}
+
 // Engines asks engines.
-type Engines interface {
-	CacheEvents(ctx context.Context, target netip.AddrPort, after uint64, wait time.Duration) (forwarder.CacheEvents, error)
+type Engines[E Events] interface {
+	CacheEvents(ctx context.Context, target netip.AddrPort, after uint64, wait time.Duration) (E, error)
 }
 
 // Observer is told the answers.
-type Observer interface {
+type Observer[E Events] interface {
 	// ObserveCache takes cache events of an engine.
-	ObserveCache(target string, events forwarder.CacheEvents)
+	ObserveCache(target string, events E)
 }
 
 // Settings are the parameters of a Poller. Zero durations take the defaults.
-type Settings struct {
-	Engines  Engines
-	Observer Observer
+type Settings[E Events] struct {
+	Engines  Engines[E]
+	Observer Observer[E]
 	// Assigned says whether this daemon asks the target; all are by default.
 	Assigned func(target string) bool
 	// EventWait is how long an engine may hold a question for cache events; 2 s by default.
@@ -60,7 +69,7 @@
 	EventInterval time.Duration
 }
 
-func (s Settings) withDefaults() Settings {
+func (s Settings[E]) withDefaults() Settings[E] {
 	if s.EventWait == 0 {
 		s.EventWait = defaultEventWait
 	}
@@ -74,8 +83,8 @@
 }
 
 // Poller asks targets until it is closed.
-type Poller struct {
-	settings Settings
+type Poller[E Events] struct {
+	settings Settings[E]
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  conc.WaitGroup
@@ -85,9 +94,9 @@
 }
 
 // New returns a Poller without targets.
-func New(settings Settings) *Poller {
+func New[E Events](settings Settings[E]) *Poller[E] {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Poller{
+	return &Poller[E]{
 		settings: settings.withDefaults(),
 		ctx:      ctx,
 		cancel:   cancel,
@@ -96,7 +105,7 @@
 }
 
 // Close ends all questions and waits for them.
-func (p *Poller) Close() error {
+func (p *Poller[E]) Close() error {
 	p.mu.Lock()
 	p.cancel()
 	p.mu.Unlock()
@@ -105,7 +114,7 @@
 }
 
 // SetTargets replaces the targets. Those that stay are asked on without a pause.
-func (p *Poller) SetTargets(targets []Target) {
+func (p *Poller[E]) SetTargets(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ctx.Err() != nil {
@@ -126,20 +135,20 @@
 	}
 }
 
-func (p *Poller) start(target Target) {
+func (p *Poller[E]) start(target Target) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.loops[target] = cancel
 	p.running.Go(func() { p.askEvents(ctx, target) })
 }
 
-func (p *Poller) askEvents(ctx context.Context, target Target) {
+func (p *Poller[E]) askEvents(ctx context.Context, target Target) {
 	cursor := cursor{}
 	backoff := p.settings.EventInterval
 	for ctx.Err() == nil {
 		if p.settings.Assigned(target.Name) {
 			events, err := p.settings.Engines.CacheEvents(ctx, target.Address, cursor.after, p.settings.EventWait)
-			backoff = p.nextBackoff(backoff, len(events.Events), err)
-			if err == nil && cursor.advance(events) {
+			backoff = p.nextBackoff(backoff, countOf(events, err), err)
+			if err == nil && cursor.advance(events.Life(), events.Following()) && events.Count() > 0 {
 				p.settings.Observer.ObserveCache(target.Name, events)
 			}
 		}
@@ -147,9 +156,17 @@
 	}
 }
 
+// countOf counts the events of an answer; there are none in a failed one.
+func countOf[E Events](events E, err error) int {
+	if err != nil {
+		return 0
+	}
+	return events.Count()
+}
+
 // nextBackoff returns the pause before the next question. It grows while there is nothing to
 // hear, since questions to engines without work would cost more than all else.
-func (p *Poller) nextBackoff(backoff time.Duration, events int, err error) time.Duration {
+func (p *Poller[E]) nextBackoff(backoff time.Duration, events int, err error) time.Duration {
 	if err == nil && events > 0 {
 		return p.settings.EventInterval
 	}
@@ -164,15 +181,15 @@
 
 // advance moves the cursor behind the events and says whether they may be used. Events of a
 // new incarnation begin anew: the old place means nothing in them.
-func (c *cursor) advance(events forwarder.CacheEvents) bool {
-	if c.incarnation != "" && events.Incarnation != c.incarnation {
-		c.incarnation = events.Incarnation
+func (c *cursor) advance(life string, following uint64) bool {
+	if c.incarnation != "" && life != c.incarnation {
+		c.incarnation = life
 		c.after = 0
 		return false
 	}
-	c.incarnation = events.Incarnation
-	c.after = events.Next
-	return len(events.Events) > 0
+	c.incarnation = life
+	c.after = following
+	return true
 }
 
 func jittered(period time.Duration) time.Duration {
--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{}
 		observer := &heard{}
-		p := poller.New(poller.Settings{Engines: e, Observer: observer})
+		p := poller.New(poller.Settings[forwarder.CacheEvents]{Engines: e, Observer: observer})
 		defer func() { _ = p.Close() }()
 		p.SetTargets([]poller.Target{{Name: "engine-1"}})
 		some := []forwarder.CacheEvent{{}}
@@ -82,7 +82,7 @@
 func TestTargetsThatAreNotAssignedAreNotAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engine{}
-		p := poller.New(poller.Settings{Engines: e, Observer: &heard{}, Assigned: func(target string) bool { return target != "engine-1" }})
+		p := poller.New(poller.Settings[forwarder.CacheEvents]{Engines: e, Observer: &heard{}, Assigned: func(target string) bool { return target != "engine-1" }})
 		defer func() { _ = p.Close() }()
 		p.SetTargets([]poller.Target{{Name: "engine-1"}})
 		time.Sleep(time.Minute)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -156,19 +156,19 @@
 func (u *run) choose() (choice placer.Choice, refusal *Refusal) {
 	choice, err := u.relayer.settings.Places.Choose(u.placement(), u.tried)
 	var none *placer.NoTargetError
-	if errors.As(err, &none) {
+	var late *placer.NotInTimeError
+	switch {
+	case err == nil:
+		return choice, nil
+	case errors.As(err, &none):
 		return placer.Choice{}, notRun(ReasonNoTarget, none.RetryAfter)
-	}
-	if err != nil {
+	case errors.As(err, &late):
+		u.choice.Expected = late.Expected
+		return placer.Choice{}, notRun(ReasonNotInTime, max(late.Expected-late.Within, shortestRetry))
+	default:
 		u.cause = err
 		return placer.Choice{}, notRun(ReasonNoTarget, shedRetry)
 	}
-	if excess := choice.Expected - u.allowance(); excess > 0 {
-		choice.Flight.Finished()
-		u.choice = choice
-		return placer.Choice{}, notRun(ReasonNotInTime, max(excess, shortestRetry))
-	}
-	return choice, nil
 }
 
 // allowance is how late the first event may be expected for the request to be sent. Beyond the
@@ -187,7 +187,7 @@
 	return placer.Call{
 		Service: u.service, Model: prompt.Model, Wall: u.wall(),
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
-		Urgency: u.urgency(),
+		Urgency: u.urgency(), Within: max(u.allowance(), time.Nanosecond),
 	}
 }
 
@@ -282,12 +282,20 @@
 		"id", u.call.ID, "result", u.result, "status", u.status, "route", route, "service", u.service,
 		"target", u.target, "weights", u.version, "expected_ms", u.choice.Expected.Milliseconds(),
 		"read", u.choice.Read, "ahead", u.choice.Ahead, "in_hand", u.choice.Requests,
-		"fetch_from", addressText(u.choice.FetchFrom), "sends", u.sends, "runs", u.runs,
+		"prompt", firstPart(u.call.Prompt), "wall", u.wall(), "fetch_from", addressText(u.choice.FetchFrom), "save", u.choice.SaveTo.IsValid(), "sends", u.sends, "runs", u.runs,
 		"first_ms", u.first.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", configuration, "contact_age_ms", u.relayer.settings.Knowledge.ContactAge().Milliseconds(),
 		"cause", errorText(u.cause))
 }
 
+// firstPart names the prompt by its first shared part.
+func firstPart(prompt Prompt) string {
+	if len(prompt.Parts) < 2 {
+		return ""
+	}
+	return prompt.Parts[0].ID
+}
+
 func addressText(address netip.AddrPort) string {
 	if !address.IsValid() {
 		return ""
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -79,7 +79,7 @@
 	detector      *detector.Detector
 	liveness      liveness
 	pools         *pooler.Pooler
-	poller        *poller.Poller
+	poller        *poller.Poller[forwarder.CacheEvents]
 	models        *limiter.Limiter
 	services      *limiter.Limiter
 	selectors     *limiter.Limiter
--- a/tracker/peers.go
+++ b/tracker/peers.go
@@ -9,12 +9,25 @@
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
+// Peer is another daemon.
+type Peer struct {
+	// Key is where the daemon says that it runs; it names the daemon.
+	Key        string
+	Address    netip.AddrPort
+	DataCentre string
+}
+
+// EncodePeer writes what a daemon says of itself.
+func EncodePeer(address netip.AddrPort, dataCentre string) []byte {
+	return []byte(address.String() + " " + dataCentre)
+}
+
 // PeersSettings are the parameters of Peers.
 type PeersSettings struct {
 	// Own is the address of this daemon, which is left out.
 	Own netip.AddrPort
-	// Changed is called with the addresses of all other daemons after each change.
-	Changed func([]netip.AddrPort)
+	// Changed is called with all other daemons after each change.
+	Changed func([]Peer)
 	Logger  *slog.Logger
 }
 
@@ -23,12 +36,12 @@
 	settings PeersSettings
 
 	mu    sync.Mutex
-	known map[string]netip.AddrPort
+	known map[string]Peer
 }
 
 // NewPeers returns Peers that know none.
 func NewPeers(settings PeersSettings) *Peers {
-	return &Peers{settings: settings, known: make(map[string]netip.AddrPort)}
+	return &Peers{settings: settings, known: make(map[string]Peer)}
 }
 
 // Reset replaces all peers. After an outage those that are missing are kept until they change, since
@@ -60,22 +73,23 @@
 }
 
 func (p *Peers) put(item storer.Item) {
-	address, err := netip.ParseAddrPort(string(item.Value))
+	text, dataCentre, _ := strings.Cut(string(item.Value), " ")
+	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		p.settings.Logger.Warn("entry names no daemon", "key", item.Key, "error", err)
 		return
 	}
-	p.known[item.Key] = address
+	p.known[item.Key] = Peer{Key: item.Key, Address: address, DataCentre: dataCentre}
 }
 
 func (p *Peers) publish() {
-	addresses := make([]netip.AddrPort, 0, len(p.known))
-	for _, address := range p.known {
-		if address != p.settings.Own {
-			addresses = append(addresses, address)
+	peers := make([]Peer, 0, len(p.known))
+	for _, peer := range p.known {
+		if peer.Address != p.settings.Own {
+			peers = append(peers, peer)
 		}
 	}
-	p.settings.Changed(addresses)
+	p.settings.Changed(peers)
 }
 
 // Sink takes items and changes, as a follower gives them.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -125,20 +125,20 @@
 }
 
 func TestPeersLeaveOutTheDaemonItself(t *testing.T) {
-	var addresses []netip.AddrPort
+	var known []tracker.Peer
 	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
-	peers := tracker.NewPeers(tracker.PeersSettings{Own: own, Changed: func(a []netip.AddrPort) { addresses = a }, Logger: discard()})
-	peers.Reset([]storer.Item{item("h/a", own.String(), 1), item("h/b", other.String(), 2), item("h/c", "?", 3)}, false)
-	if !slices.Equal(addresses, []netip.AddrPort{other}) {
-		t.Errorf("peers are %v", addresses)
+	peers := tracker.NewPeers(tracker.PeersSettings{Own: own, Changed: func(p []tracker.Peer) { known = p }, Logger: discard()})
+	peers.Reset([]storer.Item{item("h/a", own.String(), 1), item("h/b", string(tracker.EncodePeer(other, "north")), 2), item("h/c", "?", 3)}, false)
+	if !slices.Equal(known, []tracker.Peer{{Key: "h/b", Address: other, DataCentre: "north"}}) {
+		t.Errorf("peers are %v", known)
 	}
 	peers.Reset(nil, true)
-	if len(addresses) != 1 {
+	if len(known) != 1 {
 		t.Error("peers whose entries lapsed in an outage are forgotten")
 	}
 	peers.Change([]storer.Event{deleted("h/b", 4)}, false)
-	if len(addresses) != 0 {
-		t.Errorf("peers are %v", addresses)
+	if len(known) != 0 {
+		t.Errorf("peers are %v", known)
 	}
 }
 
