--- a/placer/choose.go
+++ b/placer/choose.go
@@ -79,8 +79,8 @@
 	if err != nil {
 		return Choice{}, err
 	}
-	if call.Within > 0 && best.expected > call.Within {
-		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Within: call.Within}
+	if within := p.within(call, best); within > 0 && best.expected > within {
+		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Within: within}
 	}
 	return Choice{
 		Target:    best.target.snapshot(),
@@ -95,6 +95,21 @@
 	}, nil
 }
 
+// waitShare is the part of the time of a call that a prompt may wait which takes long by itself.
+const waitShare = 0.5
+
+// within is how long the call may take to its first event at the candidate; zero is any time.
+func (p *Placer) within(call Call, c candidate) time.Duration {
+	within := call.Within
+	if within > 0 {
+		within = max(within, p.rates[call.Service].reading(c.read)+time.Duration(waitShare*float64(within)))
+	}
+	if call.Left > 0 && (within == 0 || call.Left < within) {
+		return call.Left
+	}
+	return within
+}
+
 func (t *target) calm(now time.Time) bool {
 	return !t.updatingUntil.After(now) && !t.shedUntil.After(now) && !t.brokenUntil.After(now)
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -63,8 +63,11 @@
 	OutputTokens int
 	// Urgency is the rank of the request, below Urgencies; zero is the most urgent.
 	Urgency int
-	// Within is the longest time to the first event that is of use; zero is any.
+	// Within is the time to the first event beyond which the call should not be sent; zero is any.
+	// A prompt that takes long to read by itself may take so much more.
 	Within time.Duration
+	// Left is the time in which the call must begin; zero is any.
+	Left time.Duration
 }
 
 // Choice is the target of one attempt.
@@ -99,7 +102,7 @@
 	Service string
 	// Expected is the shortest time to the first event.
 	Expected time.Duration
-	// Within is what the call asked for.
+	// Within is what the call may take.
 	Within time.Duration
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -399,3 +399,19 @@
 		}
 	}
 }
+
+// The pattern: a prompt that takes longer than the objective to read, at engines without work.
+func TestLargestPromptsAreNotRefusedForTheirSize(t *testing.T) {
+	f := newFixture(t, 1)
+	large := long("book")
+	large.PromptTokens, large.Within, large.Left = 90_000, 900*time.Millisecond, 8*time.Second
+	f.choose(large)
+	if _, err := f.placer.Choose(large, nil); err == nil {
+		t.Error("a second one waits behind it for longer than its part of the time")
+	}
+	hurried := large
+	hurried.Left = time.Second
+	if _, err := newFixture(t, 1).placer.Choose(hurried, nil); err == nil {
+		t.Error("a prompt that cannot begin before its deadline is sent")
+	}
+}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -109,7 +109,7 @@
 }
 
 func (w *world) Choose(call placer.Call, excluded []string) (placer.Choice, error) {
-	if w.expect > call.Within {
+	if call.Within > 0 && w.expect > call.Within {
 		return placer.Choice{}, &placer.NotInTimeError{Service: call.Service, Expected: w.expect, Within: call.Within}
 	}
 	choice, err := w.places.Choose(call, excluded)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -171,14 +171,14 @@
 	}
 }
 
-// allowance is how late the first event may be expected for the request to be sent. Beyond the
-// objective targets would only grow their queues and make the others late too.
+// allowance is how late the first event may be expected for the request to be sent; zero is any time.
+// Beyond the objective targets would only grow their queues and make the others late too.
 func (u *run) allowance() time.Duration {
-	left := time.Until(u.deadline) - spentTime
 	if u.route.Repeat != cataloger.RepeatStream || u.route.Objective <= 0 {
-		return left
+		return 0
 	}
-	return min(left, time.Duration(lateShare*float64(u.route.Objective)))
+	elapsed := time.Since(u.call.Arrived)
+	return max(time.Duration(lateShare*float64(u.route.Objective))-elapsed, shortestRetry)
 }
 
 // placement is what the choice of a target needs to know.
@@ -187,7 +187,8 @@
 	return placer.Call{
 		Service: u.service, Model: prompt.Model, Wall: u.wall(),
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
-		Urgency: u.urgency(), Within: max(u.allowance(), time.Nanosecond),
+		Urgency: u.urgency(), Within: u.allowance(),
+		Left: max(time.Until(u.deadline)-spentTime, time.Nanosecond),
 	}
 }
 
