upgrader: the next engines are emptied while those before load; placer: replaced weights weigh more

Change: a target whose load is nearly over makes room for the next; engines are asked first when the load is expected to end; replaced weights cost 200 ms in the choice.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -23,7 +23,7 @@
 	// remoteCost is the price of another data centre.
 	remoteCost = 2 * time.Millisecond
 	// replacedCost is the price of weights that were replaced for longer than replacedGrace.
-	replacedCost  = 80 * time.Millisecond
+	replacedCost  = 200 * time.Millisecond
 	replacedGrace = time.Second
 	// fetchOverhead is the time that a fetch takes beside the transfer.
 	fetchOverhead = 3 * time.Millisecond
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -12,7 +12,11 @@
 	// daemons stop sending and the engine finishes what waits there.
 	drainPause = 350 * time.Millisecond
 	// pollPause is the time between two reports of a changing engine.
-	pollPause = 150 * time.Millisecond
+	pollPause = 100 * time.Millisecond
+	// slotPause is the time between two looks for room to load.
+	slotPause = 20 * time.Millisecond
+	// loadShare is the part of the expected load time after which an engine is first asked.
+	loadShare = 0.85
 	// callTimeout bounds one call to an engine.
 	callTimeout = 700 * time.Millisecond
 	// repeatAfter is when an order without an effect is given again.
@@ -46,31 +50,46 @@
 	if !waiter.Pause(ctx, drainPause) {
 		return 0, "stopped"
 	}
+	for !u.beginLoad(c.Target.ID) {
+		if !waiter.Pause(ctx, slotPause) {
+			return 0, "stopped"
+		}
+	}
 	var ordered time.Time
 	deadline := time.Now().Add(longestChange)
 	for time.Now().Before(deadline) {
+		pause := pollPause
 		report, err := u.report(ctx, c)
 		switch {
 		case err != nil:
 			// The engine may be starting again; the deadline bounds the wait.
 		case report.Versions[c.Model] >= c.Wanted && !report.Busy:
+			u.loaded(c.Target.ID)
 			return report.Versions[c.Model], "changed"
 		case !report.Busy && time.Since(ordered) > repeatAfter:
 			if outcome := u.order(ctx, c, report); outcome != ResultAccepted && outcome != ResultConflict {
 				return report.Versions[c.Model], "refused"
 			}
 			ordered = time.Now()
+			pause = u.expectedLoad()
 		}
 		if !u.holding() {
 			return 0, "duty lost"
 		}
-		if !waiter.Pause(ctx, pollPause) {
+		if !waiter.Pause(ctx, pause) {
 			return 0, "stopped"
 		}
 	}
 	return 0, "not in time"
 }
 
+// expectedLoad is how long an ordered engine need not be asked.
+func (u *Upgrader) expectedLoad() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return max(time.Duration(loadShare*float64(min(u.loadTime, presumedLoad))), pollPause)
+}
+
 func (u *Upgrader) report(ctx context.Context, c Candidate) (report Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -30,17 +30,16 @@
 	Wanted int64
 }
 
-// Next chooses the targets to change next: those with the oldest weights first, as many as may
-// change at the same time beside those that are changing.
-func Next(targets []placer.Target, wanted func(model string) int64, changing func(id string) bool) (next []Candidate) {
-	engines, busy := 0, 0
+// Next chooses the targets to change next: those with the oldest weights first, as many as there is
+// room for beside those that are changing.
+func Next(targets []placer.Target, wanted func(model string) int64, changing func(id string) bool, busy int) (next []Candidate) {
+	engines := 0
 	for _, target := range targets {
 		if len(target.Versions) == 0 {
 			continue
 		}
 		engines++
 		if changing(target.ID) {
-			busy++
 			continue
 		}
 		for model, has := range target.Versions {
@@ -52,20 +51,29 @@
 	slices.SortFunc(next, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Has, b.Has), cmp.Compare(a.Target.ID, b.Target.ID))
 	})
-	room := max(fewestAtOnce, engines/engineShare) - busy
-	return next[:max(min(room, len(next)), 0)]
+	return next[:max(min(atOnce(engines)-busy, len(next)), 0)]
 }
 
-// next notes the chosen targets as changing.
+// atOnce is how many engines may load at the same time.
+func atOnce(engines int) int { return max(fewestAtOnce, engines/engineShare) }
+
+// next notes the chosen targets as changing. A target whose load is nearly over makes room for the
+// next one, whose requests have to end first.
 func (u *Upgrader) next() []Candidate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	busy := 0
+	for _, changing := range u.changing {
+		if changing.ordered.IsZero() || time.Since(changing.ordered) < u.loadTime-drainPause {
+			busy++
+		}
+	}
 	chosen := Next(u.settings.Places.Targets(), u.settings.Places.Wanted, func(id string) bool {
 		_, changing := u.changing[id]
 		return changing
-	})
+	}, busy)
 	for _, candidate := range chosen {
-		u.changing[candidate.Target.ID] = change{target: candidate.Target, model: candidate.Model}
+		u.changing[candidate.Target.ID] = change{}
 		delete(u.done, candidate.Target.ID)
 		u.settings.Places.Updating(candidate.Target.ID, time.Now().Add(longestChange))
 		u.dirty = true
@@ -73,6 +81,41 @@
 	return chosen
 }
 
+// beginLoad notes that a target is ordered to change, unless too many are loading.
+func (u *Upgrader) beginLoad(id string) (begun bool) {
+	engines := 0
+	for _, target := range u.settings.Places.Targets() {
+		if len(target.Versions) > 0 {
+			engines++
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	loading := 0
+	for other, changing := range u.changing {
+		if other != id && !changing.ordered.IsZero() {
+			loading++
+		}
+	}
+	if loading >= atOnce(engines) {
+		return false
+	}
+	u.changing[id] = change{ordered: time.Now()}
+	return true
+}
+
+// loadGain is the weight of a new measurement of the load time.
+const loadGain = 0.3
+
+// loaded learns how long a change takes from its order on.
+func (u *Upgrader) loaded(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if ordered := u.changing[id].ordered; !ordered.IsZero() {
+		u.loadTime += time.Duration(loadGain * float64(time.Since(ordered)-u.loadTime))
+	}
+}
+
 type wirePlan struct {
 	Changing []string   `json:"changing"`
 	Done     []wireDone `json:"done"`
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -142,6 +142,8 @@
 	began clocker.Instant
 	// changing are the targets that are being changed.
 	changing map[string]change
+	// loadTime is how long changes take lately from their order on.
+	loadTime time.Duration
 	done     map[string]done
 	dirty    bool
 	planned  map[string]bool
@@ -149,10 +151,13 @@
 
 // change is one target on its way to new weights.
 type change struct {
-	target placer.Target
-	model  string
+	// ordered is when the first order was given; zero while requests are kept away.
+	ordered time.Time
 }
 
+// presumedLoad is how long a change takes before any was seen.
+const presumedLoad = time.Second
+
 // done is a change that has ended.
 type done struct {
 	model   string
@@ -172,6 +177,7 @@
 		wake:     make(chan struct{}, 1),
 		seen:     make(map[string]storer.Item),
 		changing: make(map[string]change),
+		loadTime: presumedLoad,
 		done:     make(map[string]done),
 		planned:  make(map[string]bool),
 	}
@@ -224,10 +230,14 @@
 // idleInterval is how often the duty is looked at without a reason.
 const idleInterval = 400 * time.Millisecond
 
+// busyInterval is how often the holder looks for the next target while some are changing.
+const busyInterval = 50 * time.Millisecond
+
 func (u *Upgrader) run(ctx context.Context) {
-	timer := time.NewTicker(idleInterval)
+	timer := time.NewTimer(idleInterval)
 	defer timer.Stop()
 	for {
+		timer.Reset(u.interval())
 		select {
 		case <-ctx.Done():
 			return
@@ -238,6 +248,15 @@
 	}
 }
 
+func (u *Upgrader) interval() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.changing) > 0 {
+		return busyInterval
+	}
+	return idleInterval
+}
+
 // step takes the duty where nobody has it, and gives the next orders where this daemon has it.
 func (u *Upgrader) step(ctx context.Context) {
 	if !u.leaseStands() {
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -461,7 +461,7 @@
 	}
 	next := upgrader.Next([]placer.Target{
 		target("a", 3), target("b", 1), target("c", 2), target("d", 1), {ID: "plain"},
-	}, func(string) int64 { return 3 }, func(id string) bool { return id == "d" })
+	}, func(string) int64 { return 3 }, func(id string) bool { return id == "d" }, 1)
 	if len(next) != 1 || next[0].Target.ID != "b" {
 		t.Errorf("next are %+v", next)
 	}
