--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -210,7 +210,7 @@
 
 func (d *Daemon) newDuties() duties {
 	lease := leaser.New(leaser.Settings{
-		Store: d.store, TTL: d.settings.Hosted.LeaseTime, Logger: d.log("leaser"),
+		Store: d.store, TTL: d.settings.Hosted.LeaseTime * 2 / 3, Logger: d.log("leaser"),
 		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
 	})
 	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
