placer, upgrader: engines that went dark hold up neither requests nor new weights

Change: an engine whose reports fail is passed over for 2 s; a target that owes its first answer for three times the expected time is left.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -43,9 +43,13 @@
 
 // candidate is a target with the estimate for a call.
 type candidate struct {
-	target    *target
-	version   int64
-	expected  time.Duration
+	target  *target
+	version int64
+	// expected is the time to the first event.
+	expected time.Duration
+	// cost is what the choice goes by: the time to the first event, and what the call and those that
+	// run there lose by each other.
+	cost      time.Duration
 	read      int
 	fetched   int
 	fetchFrom netip.AddrPort
@@ -111,7 +115,7 @@
 }
 
 func (t *target) calm(now time.Time) bool {
-	return !t.updatingUntil.After(now) && !t.shedUntil.After(now) && !t.brokenUntil.After(now)
+	return !t.updatingUntil.After(now) && !t.shedUntil.After(now) && !t.brokenUntil.After(now) && !t.silent(now)
 }
 
 func (p *Placer) best(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
@@ -129,7 +133,7 @@
 		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: defaultRetry}
 	}
 	p.preferHome(call, candidates)
-	return slices.MinFunc(candidates, func(a, b candidate) int { return int(a.expected - b.expected) }), nil
+	return slices.MinFunc(candidates, func(a, b candidate) int { return int(a.cost - b.cost) }), nil
 }
 
 // fresh says whether the target's weights may still begin the request when it is expected to begin.
@@ -155,15 +159,36 @@
 		c.expected += remoteCost
 	}
 	if call.Model == "" {
+		c.cost = c.expected
 		return c
 	}
 	p.estimatePrompt(&c, prompt, load)
+	c.cost = c.expected + p.interference(c, call, load)
 	if since, replaced := p.wanted[call.Model].replacedSince(c.version, p.unknownSince()); replaced && now.Sub(since) > replacedGrace {
-		c.expected += replacedCost
+		c.cost += replacedCost
 	}
 	return c
 }
 
+const (
+	// chunkTokens is how much of prompts an engine reads between two tokens of its streams.
+	chunkTokens = 2048
+	// slowedShare weighs the time by which a stream is slowed by prompts that are read beside it.
+	slowedShare = 0.5
+	// slowingShare weighs the time by which the reading of a prompt slows each stream there.
+	slowingShare = 0.05
+)
+
+// interference is what a call and the streams of an engine lose by each other: while prompts are read,
+// each token of a stream waits for a piece of them.
+func (p *Placer) interference(c candidate, call Call, load work) time.Duration {
+	rates := p.rates[call.Service]
+	backlog := rates.reading(load.unread.total())
+	slowed := min(backlog, time.Duration(call.OutputTokens)*rates.reading(chunkTokens))
+	slowing := time.Duration(load.requests) * rates.reading(c.read)
+	return time.Duration(slowedShare*float64(slowed) + slowingShare*float64(slowing))
+}
+
 // estimatePrompt adds the time for reading the prompt and for what waits before it.
 func (p *Placer) estimatePrompt(c *candidate, prompt *prompt, load work) {
 	t, call := c.target, prompt.call
@@ -250,7 +275,7 @@
 	found := &holders{keys: p.call.keys(version)}
 	p.byVersion[version] = found
 	for _, t := range p.placer.services[p.call.Service] {
-		if t.Versions[p.call.Model] != version || t.brokenUntil.After(p.now) {
+		if t.Versions[p.call.Model] != version || t.brokenUntil.After(p.now) || t.silent(p.now) {
 			continue
 		}
 		if tokens := p.call.cachedTokens(t.cached, found.keys); tokens >= fetchedTokens {
@@ -305,7 +330,7 @@
 	})
 	for i := range candidates {
 		if candidates[i].target != home.target {
-			candidates[i].expected += time.Duration(homeShare * float64(p.rates[call.Service].reading(call.sharedTokens())))
+			candidates[i].cost += time.Duration(homeShare * float64(p.rates[call.Service].reading(call.sharedTokens())))
 		}
 	}
 }
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -30,6 +30,7 @@
 	f.work.unread[call.Urgency] = best.read + requestTokens(call)
 	f.alone = t.load().unread.total() == 0 && best.fetched == 0
 	t.own.add(f.work)
+	t.sent(best.expected, now)
 	f.placed = p.place(t, call, best, now)
 	return f
 }
@@ -101,6 +102,7 @@
 	defer p.mu.Unlock()
 	f.target.own.add(work{unread: f.work.unread}.negative())
 	f.target.breaks = 0
+	f.target.heard()
 	if f.alone {
 		p.measure(f)
 	}
@@ -131,11 +133,15 @@
 		ended.unread = Unread{}
 	}
 	f.target.own.add(ended.negative())
+	if f.target.own.requests == 0 {
+		f.target.heard() // Nothing is owed any more.
+	}
 }
 
 // Shed notes that the target refused the request without running it.
 func (f *Flight) Shed() {
 	f.note(func(t *target, now time.Time) {
+		t.heard()
 		t.shedUntil = now.Add(shedPause)
 		f.unplace(t)
 	})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -60,6 +60,7 @@
 	// Parts are those of the prompt in their order. The last one belongs to the request alone.
 	Parts        []Part
 	PromptTokens int
+	// OutputTokens is how long the answer is expected to be.
 	OutputTokens int
 	// Urgency is the rank of the request, below Urgencies; zero is the most urgent.
 	Urgency int
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -415,3 +415,25 @@
 		t.Error("a prompt that cannot begin before its deadline is sent")
 	}
 }
+
+// The pattern: a target goes dark while it still has an entry and open connections.
+func TestSilentTargetIsFoundByItsFirstRequest(t *testing.T) {
+	f := newFixture(t, 2)
+	dark := f.choose(brief(), "e1")
+	f.now = f.now.Add(500 * time.Millisecond)
+	for range 10 {
+		choice := f.choose(brief())
+		if choice.Target.ID == "e0" {
+			t.Fatal("a request went to a target that has not answered for 0.5 s")
+		}
+		choice.Flight.Started()
+		choice.Flight.Finished()
+	}
+	dark.Flight.Started()
+	for range 10 {
+		if f.choose(brief()).Target.ID == "e0" {
+			return
+		}
+	}
+	t.Error("a target that has answered again gets nothing")
+}
--- a/placer/target.go
+++ b/placer/target.go
@@ -87,6 +87,10 @@
 	shedUntil     time.Time
 	brokenUntil   time.Time
 	breaks        int
+	// silentSince is the oldest send of this daemon since which it has not heard from the target.
+	silentSince time.Time
+	// patience is how long that send may go without an answer.
+	patience time.Duration
 	// running is what the target last said of its running and waiting requests.
 	running  int
 	reported time.Time
@@ -127,6 +131,29 @@
 	}
 }
 
+const (
+	// silenceFactor and silenceMargin tell by the expected time of a request how long its target may
+	// be silent before others are preferred.
+	silenceFactor = 3
+	silenceMargin = 300 * time.Millisecond
+)
+
+// sent notes a request to the target.
+func (t *target) sent(expected time.Duration, now time.Time) {
+	if t.silentSince.IsZero() {
+		t.silentSince, t.patience = now, silenceFactor*expected+silenceMargin
+	}
+}
+
+// heard notes an answer of the target.
+func (t *target) heard() { t.silentSince = time.Time{} }
+
+// silent says whether the target owes an answer for too long. One that has gone dark is found by the
+// first request that it does not answer, in place of by all of them.
+func (t *target) silent(now time.Time) bool {
+	return !t.silentSince.IsZero() && now.Sub(t.silentSince) > t.patience
+}
+
 func (t *target) broke(now time.Time) {
 	pause := min(brokenPause<<min(t.breaks, 4), longestBrokenPause)
 	t.breaks++
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -17,6 +17,10 @@
 	slotPause = 20 * time.Millisecond
 	// loadShare is the part of the expected load time after which an engine is first asked.
 	loadShare = 0.85
+	// unreachableReports is the number of reports in a row that may fail.
+	unreachableReports = 3
+	// unreachablePause is how long an engine is passed over that could not be reached.
+	unreachablePause = 2 * time.Second
 	// callTimeout bounds one call to an engine.
 	callTimeout = 700 * time.Millisecond
 	// repeatAfter is when an order without an effect is given again.
@@ -36,6 +40,9 @@
 	}
 	u.mu.Lock()
 	delete(u.changing, c.Target.ID)
+	if result == resultUnreachable {
+		u.unreachable[c.Target.ID] = time.Now().Add(unreachablePause)
+	}
 	if version > 0 {
 		u.done[c.Target.ID] = done{model: c.Model, version: version, at: time.Now()}
 	}
@@ -44,9 +51,15 @@
 	u.Wake()
 }
 
+// resultUnreachable is the end of a change whose engine does not answer.
+const resultUnreachable = "unreachable"
+
 // carryOut orders and follows the change until the engine has the weights, and returns those that
 // it is known to have; zero where it is not known.
 func (u *Upgrader) carryOut(ctx context.Context, c Candidate) (version int64, result string) {
+	if _, err := u.report(ctx, c); err != nil {
+		return 0, resultUnreachable
+	}
 	if !waiter.Pause(ctx, drainPause) {
 		return 0, "stopped"
 	}
@@ -56,13 +69,16 @@
 		}
 	}
 	var ordered time.Time
+	failures := 0
 	deadline := time.Now().Add(longestChange)
 	for time.Now().Before(deadline) {
 		pause := pollPause
 		report, err := u.report(ctx, c)
 		switch {
+		case err != nil && failures+1 >= unreachableReports:
+			return 0, resultUnreachable
 		case err != nil:
-			// The engine may be starting again; the deadline bounds the wait.
+			failures++
 		case report.Versions[c.Model] >= c.Wanted && !report.Busy:
 			u.loaded(c.Target.ID)
 			return report.Versions[c.Model], "changed"
@@ -73,6 +89,9 @@
 			ordered = time.Now()
 			pause = u.expectedLoad()
 		}
+		if err == nil {
+			failures = 0
+		}
 		if !u.holding() {
 			return 0, "duty lost"
 		}
--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -32,14 +32,14 @@
 
 // Next chooses the targets to change next: those with the oldest weights first, as many as there is
 // room for beside those that are changing.
-func Next(targets []placer.Target, wanted func(model string) int64, changing func(id string) bool, busy int) (next []Candidate) {
+func Next(targets []placer.Target, wanted func(model string) int64, passedOver func(id string) bool, busy int) (next []Candidate) {
 	engines := 0
 	for _, target := range targets {
 		if len(target.Versions) == 0 {
 			continue
 		}
 		engines++
-		if changing(target.ID) {
+		if passedOver(target.ID) {
 			continue
 		}
 		for model, has := range target.Versions {
@@ -70,7 +70,7 @@
 	}
 	chosen := Next(u.settings.Places.Targets(), u.settings.Places.Wanted, func(id string) bool {
 		_, changing := u.changing[id]
-		return changing
+		return changing || time.Now().Before(u.unreachable[id])
 	}, busy)
 	for _, candidate := range chosen {
 		u.changing[candidate.Target.ID] = change{}
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -142,6 +142,8 @@
 	began clocker.Instant
 	// changing are the targets that are being changed.
 	changing map[string]change
+	// unreachable are targets that are passed over until then.
+	unreachable map[string]time.Time
 	// loadTime is how long changes take lately from their order on.
 	loadTime time.Duration
 	done     map[string]done
@@ -171,15 +173,16 @@
 		settings.Now = clocker.Now
 	}
 	return &Upgrader{
-		settings: settings,
-		started:  time.Now(),
-		cancel:   func() {},
-		wake:     make(chan struct{}, 1),
-		seen:     make(map[string]storer.Item),
-		changing: make(map[string]change),
-		loadTime: presumedLoad,
-		done:     make(map[string]done),
-		planned:  make(map[string]bool),
+		settings:    settings,
+		started:     time.Now(),
+		cancel:      func() {},
+		wake:        make(chan struct{}, 1),
+		seen:        make(map[string]storer.Item),
+		changing:    make(map[string]change),
+		loadTime:    presumedLoad,
+		unreachable: make(map[string]time.Time),
+		done:        make(map[string]done),
+		planned:     make(map[string]bool),
 	}
 }
 
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -58,6 +58,8 @@
 	fence    storer.Version
 	loading  int64
 	until    time.Time
+	// dark makes the engine answer nothing.
+	dark bool
 	// lose makes the engine carry out an order without an answer.
 	lose bool
 }
@@ -211,6 +213,9 @@
 	defer d.fleet.mu.Unlock()
 	e := d.fleet.engines[target.ID]
 	e.settle()
+	if e.dark {
+		return upgrader.Report{}, errors.New("no answer")
+	}
 	return upgrader.Report{Busy: e.loading > 0, Accepted: e.accepted, Versions: map[string]int64{model: e.version}}, nil
 }
 
@@ -408,6 +413,26 @@
 	})
 }
 
+// The pattern: a quarter of the engines goes dark right before new weights are named.
+func TestDarkEnginesDoNotHoldUpTheOthers(t *testing.T) {
+	inVirtualTime(t, 12, func(f *fleet) {
+		f.mu.Lock()
+		for _, id := range []string{"e00", "e01", "e02"} {
+			f.engines[id].dark = true
+		}
+		f.mu.Unlock()
+		f.want(2)
+		time.Sleep(8 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for id, e := range f.engines {
+			if e.settle(); !e.dark && e.version != 2 {
+				t.Errorf("%s waits for its weights behind engines that are dark", id)
+			}
+		}
+	}, "a", "b")
+}
+
 func TestLostAnswerToAnOrderIsSettledByTheReport(t *testing.T) {
 	inVirtualTime(t, 2, func(f *fleet) {
 		f.mu.Lock()
