upgrader, broadcaster, follower: the plan for new weights goes in datagrams; changes of entries gather

Change: the holder's plan travels in the datagrams between daemons, at once when it changes, marked by the fence; a watch that brought changes pauses 0.2 to 1 s, by the number of daemons; the operators' keys are watched 1.9 s at a time, and a daemon is ready while its proof of contact lets it take keys.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -44,10 +44,16 @@
 const (
 	// declarationsWait is how long one watch of the operators' keys waits. Contact is aged from
 	// the start of a watch, so it bounds how old contact gets on a calm day.
-	declarationsWait = 1200 * time.Millisecond
+	declarationsWait = 1900 * time.Millisecond
+	// shortestGather, longestGather and gatherPerPeer bound how long changes gather.
+	shortestGather = 200 * time.Millisecond
+	longestGather  = time.Second
+	gatherPerPeer  = 12 * time.Millisecond
 	// targetsWait and dutyWait are how long the other watches wait.
 	targetsWait = 10 * time.Second
 	dutyWait    = 10 * time.Second
+	// denialAge is the age of contact beyond which a watch of the operators' keys must have failed.
+	denialAge = 2*declarationsWait + 400*time.Millisecond
 	// keyMargin is kept from the bound on revoked keys.
 	keyMargin = 600 * time.Millisecond
 	// memoryShare is the part of the memory at which the collector works harder.
@@ -78,6 +84,7 @@
 	contact      *follower.Follower
 	places       *placer.Placer
 	strikes      *convictor.Convictor
+	upgrader     *upgrader.Upgrader
 }
 
 // Catalog returns the configuration in force.
@@ -90,12 +97,14 @@
 func (k *knowledge) Export() placer.News {
 	news := k.places.Export()
 	news.Strikes = k.strikes.Export()
+	news.Changes = k.upgrader.Plan()
 	return news
 }
 
 // Import takes over what another daemon knows.
 func (k *knowledge) Import(peer string, news placer.News) {
 	k.places.Import(peer, news)
+	k.upgrader.Hear(news.Changes)
 	for _, strike := range news.Strikes {
 		k.strikes.Import(strike)
 	}
@@ -150,6 +159,7 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.knowledge = d.newKnowledge()
 	d.duties = d.newDuties()
+	d.knowledge.upgrader = d.duties.upgrader
 	d.caches.poller = d.newPoller()
 	d.peers, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge, Logger: d.log("broadcaster"),
@@ -224,8 +234,8 @@
 	k := d.knowledge
 	for _, settings := range []follower.Settings{
 		{Prefix: platform.DeclarationsPrefix, Sink: k.declarations, Wait: declarationsWait},
-		{Prefix: platform.TargetsPrefix, Sink: k.targets, Wait: targetsWait},
-		{Prefix: daemonsPrefix, Sink: tracker.Split{upgrader.KeyPrefix: d.duties.upgrader, hostsPrefix: k.peers}, Wait: dutyWait},
+		{Prefix: platform.TargetsPrefix, Sink: k.targets, Wait: targetsWait, Gather: d.gather},
+		{Prefix: daemonsPrefix, Sink: tracker.Split{upgrader.KeyPrefix: d.duties.upgrader, hostsPrefix: k.peers}, Wait: dutyWait, Gather: d.gather},
 	} {
 		settings.Store, settings.Logger = d.store, d.log("follower")
 		k.followers = append(k.followers, follower.New(settings))
@@ -233,6 +243,12 @@
 	k.contact = k.followers[0]
 }
 
+// gather is how long changes of targets and daemons gather before they are read: the more daemons there
+// are, the longer, since each of them reads each change.
+func (d *Daemon) gather() time.Duration {
+	return min(max(time.Duration(d.knowledge.places.Peers())*gatherPerPeer, shortestGather), longestGather)
+}
+
 // Close stops the daemon at once and waits until all of it has ended. After Shutdown it does nothing.
 func (d *Daemon) Close() (err error) {
 	defer Error.WrapP(&err)
@@ -284,5 +300,5 @@
 // bounds are those of the settings in force.
 func (d *Daemon) bounds() relayer.Bounds {
 	hosted := d.hosted.Load()
-	return relayer.Bounds{Key: hosted.KeyRevocation - keyMargin, Denial: hosted.ConfigurationSpread}
+	return relayer.Bounds{Key: hosted.KeyRevocation - keyMargin, Denial: denialAge}
 }
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -102,7 +102,7 @@
 // lets it take keys, and does not stop.
 func (e *edge) answerReady(w http.ResponseWriter) {
 	k := e.daemon.knowledge
-	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.hosted.Load().KeyRevocation*3/5 {
+	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.bounds().Key {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -23,7 +23,6 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
-	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
 // Error is the class of all errors of this package.
@@ -60,6 +59,9 @@
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
 
+	// soon asks for a message before the interval is over.
+	soon chan struct{}
+
 	mu    sync.Mutex
 	peers []netip.AddrPort
 	quiet bool
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b = &Broadcaster{settings: settings, socket: socket}
+	b = &Broadcaster{settings: settings, socket: socket, soon: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	b.tasks.Go(func() { b.tell(ctx) })
@@ -104,10 +106,11 @@
 
 func (b *Broadcaster) tell(ctx context.Context) {
 	for {
-		peers, interval := b.addresses()
-		if !waiter.Pause(ctx, interval) {
+		_, interval := b.addresses()
+		if !b.pause(ctx, interval) {
 			return
 		}
+		peers, _ := b.addresses()
 		news := b.settings.Places.Export()
 		if news.Empty() && b.quiet {
 			continue
@@ -119,6 +122,26 @@
 	}
 }
 
+// Soon sends a message without waiting for the interval.
+func (b *Broadcaster) Soon() {
+	select {
+	case b.soon <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for the interval or for Soon, and says whether ctx goes on.
+func (b *Broadcaster) pause(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-b.soon:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 func (b *Broadcaster) send(message []byte, peers []netip.AddrPort) {
 	for _, peer := range peers {
 		if _, err := b.socket.WriteToUDPAddrPort(message, peer); err != nil && !errors.Is(err, net.ErrClosed) {
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -81,6 +81,7 @@
 			{Target: 1 << 60, Requests: 3, Unread: placer.Unread{0: 100, 9: 7}, Held: 5000},
 			{Target: 2, Requests: 1},
 		},
+		Changes: placer.Changes{Fence: 9, Changing: []placer.TargetHash{1 << 50, 3}, Changed: []placer.Changed{{Target: 4, Model: "m", Version: 7}}},
 		Namings: []placer.Naming{{Model: "m", Version: 7, Age: 1500 * time.Millisecond}},
 	}
 	for i := range 300 {
@@ -99,7 +100,7 @@
 	var holdings []placer.Holding
 	for _, heard := range to.heard["from"] {
 		holdings = append(holdings, heard.Holdings...)
-		if len(heard.Holdings) > 0 && (!reflect.DeepEqual(heard.Loads, sent.Loads) || !reflect.DeepEqual(heard.Namings, sent.Namings)) {
+		if len(heard.Holdings) > 0 && (!reflect.DeepEqual(heard.Loads, sent.Loads) || !reflect.DeepEqual(heard.Namings, sent.Namings) || !reflect.DeepEqual(heard.Changes, sent.Changes)) {
 			t.Fatalf("a message tells %+v", heard)
 		}
 	}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -17,6 +17,10 @@
 	fieldHolding protowire.Number = 3
 	fieldNaming  protowire.Number = 4
 	fieldStrike  protowire.Number = 5
+	// fieldChanging and fieldChanged name targets by the duty for weights; fieldFence is its holder's.
+	fieldChanging protowire.Number = 6
+	fieldChanged  protowire.Number = 7
+	fieldFence    protowire.Number = 8
 
 	fieldTarget   protowire.Number = 1
 	fieldRequests protowire.Number = 2
@@ -27,9 +31,9 @@
 	fieldTokens  protowire.Number = 3
 	fieldModel   protowire.Number = 1
 	fieldVersion protowire.Number = 2
-	fieldAgeMS   protowire.Number = 3
 	fieldRequest protowire.Number = 1
 	fieldLife    protowire.Number = 2
+	fieldOf      protowire.Number = 3
 )
 
 var errMalformed = errors.New("malformed message")
@@ -52,6 +56,7 @@
 	for _, strike := range news.Strikes {
 		head = appendNumbers(head, fieldStrike, strike.Request, strike.Incarnation)
 	}
+	head = appendChanges(head, news.Changes)
 	message := append([]byte(nil), head...)
 	for _, holding := range news.Holdings {
 		if len(message) > maxDatagram && len(message) > len(head) {
@@ -77,14 +82,33 @@
 	return protowire.AppendBytes(message, object)
 }
 
+func appendChanges(message []byte, changes placer.Changes) []byte {
+	if changes.Fence == 0 {
+		return message
+	}
+	message = appendNumbers(message, fieldFence, changes.Fence)
+	for _, target := range changes.Changing {
+		message = appendNumbers(message, fieldChanging, uint64(target))
+	}
+	for _, changed := range changes.Changed {
+		message = appendModel(message, fieldChanged, changed.Model, uint64(changed.Version), uint64(changed.Target))
+	}
+	return message
+}
+
 func appendNaming(message []byte, naming placer.Naming) []byte {
+	return appendModel(message, fieldNaming, naming.Model, uint64(naming.Version), uint64(max(naming.Age.Milliseconds(), 0)))
+}
+
+// appendModel appends an object of a model, a version and another number.
+func appendModel(message []byte, field protowire.Number, model string, version, other uint64) []byte {
 	object := protowire.AppendTag(nil, fieldModel, protowire.BytesType)
-	object = protowire.AppendString(object, naming.Model)
+	object = protowire.AppendString(object, model)
 	object = protowire.AppendTag(object, fieldVersion, protowire.VarintType)
-	object = protowire.AppendVarint(object, uint64(naming.Version))
-	object = protowire.AppendTag(object, fieldAgeMS, protowire.VarintType)
-	object = protowire.AppendVarint(object, uint64(max(naming.Age.Milliseconds(), 0)))
-	message = protowire.AppendTag(message, fieldNaming, protowire.BytesType)
+	object = protowire.AppendVarint(object, version)
+	object = protowire.AppendTag(object, fieldOf, protowire.VarintType)
+	object = protowire.AppendVarint(object, other)
+	message = protowire.AppendTag(message, field, protowire.BytesType)
 	return protowire.AppendBytes(message, object)
 }
 
@@ -104,6 +128,12 @@
 			news.Loads = append(news.Loads, object.load())
 		case fieldHolding:
 			news.Holdings = append(news.Holdings, object.holding())
+		case fieldFence:
+			news.Changes.Fence = object.numbers[fieldTarget]
+		case fieldChanging:
+			news.Changes.Changing = append(news.Changes.Changing, placer.TargetHash(object.numbers[fieldTarget]))
+		case fieldChanged:
+			news.Changes.Changed = append(news.Changes.Changed, object.changed())
 		case fieldStrike:
 			news.Strikes = append(news.Strikes, object.strike())
 		case fieldNaming:
@@ -182,8 +212,12 @@
 	return convictor.Strike{Request: o.numbers[fieldRequest], Incarnation: o.numbers[fieldLife]}
 }
 
+func (o object) changed() placer.Changed {
+	return placer.Changed{Target: placer.TargetHash(o.numbers[fieldOf]), Model: o.text, Version: int64(o.numbers[fieldVersion])}
+}
+
 func (o object) naming() placer.Naming {
 	return placer.Naming{
-		Model: o.text, Version: int64(o.numbers[fieldVersion]), Age: time.Duration(o.numbers[fieldAgeMS]) * time.Millisecond,
+		Model: o.text, Version: int64(o.numbers[fieldVersion]), Age: time.Duration(o.numbers[fieldOf]) * time.Millisecond,
 	}
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,7 +51,10 @@
 	Prefix string
 	Sink   Sink
 	// Wait is how long one watch waits for changes.
-	Wait   time.Duration
+	Wait time.Duration
+	// Gather is the pause after a watch that brought changes, in which further ones gather for the
+	// next. Default: none.
+	Gather func() time.Duration
 	Logger *slog.Logger
 	// Now is the clock of contact. Default: clocker.Now.
 	Now func() clocker.Instant
@@ -188,6 +191,9 @@
 	}
 	if len(events.Events) > 0 {
 		f.settings.Sink.Change(events.Events, f.afterOutage())
+		if f.settings.Gather != nil {
+			waiter.Pause(ctx, f.settings.Gather())
+		}
 	}
 	return max(after, events.Revision), true, nil
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -79,6 +79,13 @@
 	change()
 }
 
+// calls counts the watches.
+func (s *store) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 // sink notes what it is given.
 type sink struct {
 	mu     sync.Mutex
@@ -136,8 +143,10 @@
 
 func TestAllPagesAreRead(t *testing.T) {
 	follow(t, func(_ *follower.Follower, s *store, seen *sink) {
-		if reset, _ := seen.last(); reset != "3 items, outage false" || s.lists != 2 {
-			t.Errorf("%q after %d pages", reset, s.lists)
+		lists := 0
+		s.set(func() { lists = s.lists })
+		if reset, _ := seen.last(); reset != "3 items, outage false" || lists != 2 {
+			t.Errorf("%q after %d pages", reset, lists)
 		}
 	})
 }
@@ -196,9 +205,9 @@
 func TestOutageIsNotAHammer(t *testing.T) {
 	follow(t, func(_ *follower.Follower, s *store, _ *sink) {
 		s.set(func() { s.down = true })
-		before := s.watches
+		before := s.calls()
 		time.Sleep(10 * time.Second)
-		if calls := s.watches - before; calls > 30 {
+		if calls := s.calls() - before; calls > 30 {
 			t.Errorf("%d calls in 10 s of an outage", calls)
 		}
 	})
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -37,16 +37,35 @@
 	Age     time.Duration
 }
 
+// Changes are the targets whose weights are about to change or have changed.
+type Changes struct {
+	// Fence grows with each holder of the duty; zero is no holder.
+	Fence    uint64
+	Changing []TargetHash
+	Changed  []Changed
+}
+
+// Changed is a target that has new weights.
+type Changed struct {
+	Target  TargetHash
+	Model   string
+	Version int64
+}
+
 // News is what one daemon tells the others.
 type News struct {
 	Loads    []Load
 	Holdings []Holding
 	Namings  []Naming
 	Strikes  []convictor.Strike
+	// Changes are the plan of the holder of the duty for weights.
+	Changes Changes
 }
 
 // Empty says that there is nothing that must be told at once.
-func (n News) Empty() bool { return len(n.Loads) == 0 && len(n.Holdings) == 0 && len(n.Strikes) == 0 }
+func (n News) Empty() bool {
+	return len(n.Loads) == 0 && len(n.Holdings) == 0 && len(n.Strikes) == 0 && len(n.Changes.Changing) == 0
+}
 
 // peer is what another daemon has at the targets.
 type peer struct {
@@ -161,6 +180,16 @@
 	}
 }
 
+// Known returns the id of an incarnation, if it is known.
+func (p *Placer) Known(hash TargetHash) (id string, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byHash[hash]; t != nil {
+		return t.ID, true
+	}
+	return "", false
+}
+
 // Updating says that the weights of a target are about to change: it is left alone until then.
 func (p *Placer) Updating(id string, until time.Time) {
 	p.mu.Lock()
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -44,7 +45,7 @@
 		u.unreachable[c.Target.ID] = time.Now().Add(unreachablePause)
 	}
 	if version > 0 {
-		u.done[c.Target.ID] = done{model: c.Model, version: version, at: time.Now()}
+		u.done[c.Target.ID] = done{Changed: placer.Changed{Target: c.Target.Hash(), Model: c.Model, Version: version}, at: time.Now()}
 	}
 	u.dirty = true
 	u.mu.Unlock()
--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -2,13 +2,10 @@
 
 import (
 	"cmp"
-	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
-	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
 const (
@@ -73,7 +70,7 @@
 		return changing || time.Now().Before(u.unreachable[id])
 	}, busy)
 	for _, candidate := range chosen {
-		u.changing[candidate.Target.ID] = change{}
+		u.changing[candidate.Target.ID] = change{target: candidate.Target.Hash()}
 		delete(u.done, candidate.Target.ID)
 		u.settings.Places.Updating(candidate.Target.ID, time.Now().Add(longestChange))
 		u.dirty = true
@@ -100,7 +97,7 @@
 	if loading >= atOnce(engines) {
 		return false
 	}
-	u.changing[id] = change{ordered: time.Now()}
+	u.changing[id] = change{target: u.changing[id].target, ordered: time.Now()}
 	return true
 }
 
@@ -116,77 +113,68 @@
 	}
 }
 
-type wirePlan struct {
-	Changing []string   `json:"changing"`
-	Done     []wireDone `json:"done"`
-}
-
-type wireDone struct {
-	Target  string `json:"target"`
-	Model   string `json:"model"`
-	Version int64  `json:"version"`
+// tell makes the changed plan known.
+func (u *Upgrader) tell() {
+	u.mu.Lock()
+	dirty := u.dirty
+	u.dirty = false
+	u.mu.Unlock()
+	if dirty {
+		u.settings.Told()
+	}
 }
 
-// publish tells the other daemons which targets are changing and which have changed.
-func (u *Upgrader) publish(ctx context.Context) {
+// Plan returns the plan of this daemon, which has a fence only where it holds the duty.
+func (u *Upgrader) Plan() (plan placer.Changes) {
 	u.mu.Lock()
-	if !u.dirty {
-		u.mu.Unlock()
-		return
+	defer u.mu.Unlock()
+	if u.fence == 0 {
+		return placer.Changes{}
 	}
-	u.dirty = false
-	var plan wirePlan
-	for id := range u.changing {
-		plan.Changing = append(plan.Changing, id)
+	plan.Fence = uint64(u.fence)
+	for _, changing := range u.changing {
+		plan.Changing = append(plan.Changing, changing.target)
 	}
 	for id, ended := range u.done {
 		if time.Since(ended.at) > doneKept {
 			delete(u.done, id)
 			continue
 		}
-		plan.Done = append(plan.Done, wireDone{Target: id, Model: ended.model, Version: ended.version})
-	}
-	fence := u.fence
-	u.mu.Unlock()
-	value, err := json.Marshal(plan)
-	if err == nil {
-		_, err = u.settings.Store.Commit(ctx, storer.Transaction{
-			Conditions: []storer.Condition{{Key: holderKey, Version: fence}},
-			Puts:       []storer.Put{{Key: planKey, Value: value}},
-		})
-	}
-	if err != nil {
-		u.settings.Logger.Warn("plan not told for certain", "error", err)
-		u.mu.Lock()
-		u.dirty = true // The next step tells it again.
-		u.mu.Unlock()
+		plan.Changed = append(plan.Changed, ended.Changed)
 	}
+	return plan
 }
 
-// follow keeps requests away from the targets of the holder's plan.
-func (u *Upgrader) follow(value []byte) {
-	if len(value) == 0 {
+// Hear takes over the plan of another daemon: requests are kept away from the targets that are about to
+// change. Plans of former holders are ignored.
+func (u *Upgrader) Hear(plan placer.Changes) {
+	u.mu.Lock()
+	if plan.Fence == 0 || u.fence != 0 || plan.Fence < u.heard.Fence {
+		u.mu.Unlock()
 		return
 	}
-	var plan wirePlan
-	if err := json.Unmarshal(value, &plan); err != nil {
-		u.settings.Logger.Warn("plan not understood", "error", err)
-		return
+	before := u.heard
+	u.heard = plan
+	u.mu.Unlock()
+	for _, hash := range plan.Changing {
+		if !slices.Contains(before.Changing, hash) {
+			u.updating(hash, time.Now().Add(longestChange))
+		}
 	}
-	changing := make(map[string]bool, len(plan.Changing))
-	for _, id := range plan.Changing {
-		changing[id] = true
-		if !u.planned[id] {
-			u.settings.Places.Updating(id, time.Now().Add(longestChange))
+	for _, hash := range before.Changing {
+		if !slices.Contains(plan.Changing, hash) {
+			u.updating(hash, time.Time{})
 		}
 	}
-	for id := range u.planned {
-		if !changing[id] {
-			u.settings.Places.Updating(id, time.Time{})
+	for _, ended := range plan.Changed {
+		if id, known := u.settings.Places.Known(ended.Target); known && !slices.Contains(plan.Changing, ended.Target) {
+			u.settings.Places.Updated(id, ended.Model, ended.Version)
 		}
 	}
-	u.planned = changing
-	for _, ended := range plan.Done {
-		u.settings.Places.Updated(ended.Target, ended.Model, ended.Version)
+}
+
+func (u *Upgrader) updating(hash placer.TargetHash, until time.Time) {
+	if id, known := u.settings.Places.Known(hash); known {
+		u.settings.Places.Updating(id, until)
 	}
 }
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -35,7 +35,6 @@
 	holderKey = KeyPrefix + "holder"
 	// formerKey outlives its writer and names the daemon that held the duty last.
 	formerKey = KeyPrefix + "former"
-	planKey   = KeyPrefix + "plan"
 )
 
 // Report is what an engine says of its orders.
@@ -96,6 +95,8 @@
 	Wanted(model string) int64
 	Updating(id string, until time.Time)
 	Updated(id, model string, version int64)
+	// Known returns the id of an incarnation, if it is known.
+	Known(hash placer.TargetHash) (id string, known bool)
 }
 
 // Settings are the parameters of an Upgrader.
@@ -106,6 +107,8 @@
 	Engines Engines
 	Places  Places
 	Logger  *slog.Logger
+	// Told is called when the plan has changed, which the daemon's peers should hear of at once.
+	Told func()
 	// TakeOver is how long a new holder waits for orders of the one before to have arrived.
 	TakeOver time.Duration
 	// Now is the clock of the duty. Default: clocker.Now.
@@ -148,11 +151,13 @@
 	loadTime time.Duration
 	done     map[string]done
 	dirty    bool
-	planned  map[string]bool
+	// heard is the plan of another holder that is followed.
+	heard placer.Changes
 }
 
 // change is one target on its way to new weights.
 type change struct {
+	target placer.TargetHash
 	// ordered is when the first order was given; zero while requests are kept away.
 	ordered time.Time
 }
@@ -160,15 +165,17 @@
 // presumedLoad is how long a change takes before any was seen.
 const presumedLoad = time.Second
 
-// done is a change that has ended.
+// done is a change that has ended, with its time.
 type done struct {
-	model   string
-	version int64
-	at      time.Time
+	placer.Changed
+	at time.Time
 }
 
 // New returns an Upgrader that has not started.
 func New(settings Settings) *Upgrader {
+	if settings.Told == nil {
+		settings.Told = func() {}
+	}
 	if settings.Now == nil {
 		settings.Now = clocker.Now
 	}
@@ -182,7 +189,6 @@
 		loadTime:    presumedLoad,
 		unreachable: make(map[string]time.Time),
 		done:        make(map[string]done),
-		planned:     make(map[string]bool),
 	}
 }
 
@@ -274,7 +280,7 @@
 	for _, next := range u.next() {
 		u.orders.Go(func() { u.change(ctx, next) })
 	}
-	u.publish(ctx)
+	u.tell()
 }
 
 // leaseStands says whether the lease under which the duty was taken still holds.
@@ -429,24 +435,18 @@
 	u.react()
 }
 
-// react follows the keys: it stands down where another daemon holds the duty, and keeps requests
-// away from the targets of the plan.
+// react follows the keys: it stands down where another daemon holds the duty, and recognises its own
+// claim.
 func (u *Upgrader) react() {
 	u.mu.Lock()
 	holder, taken := u.seen[holderKey]
-	plan := u.seen[planKey]
 	fence := u.fence
 	u.mu.Unlock()
 	if fence != 0 && taken && holder.Version > fence {
 		u.standDown("another daemon has taken it")
-		fence = 0
 	}
 	if taken && u.claimed(holder) {
 		u.hold(holder.Version)
-		fence = holder.Version
-	}
-	if fence == 0 && taken {
-		u.follow(plan.Value)
 	}
 	u.Wake()
 }
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -83,7 +83,7 @@
 	for i, name := range daemons {
 		d := &daemon{fleet: f, name: name, lease: storer.LeaseID(fmt.Sprint(i + 1)), held: true, updating: make(map[string]bool)}
 		d.upgrader = upgrader.New(upgrader.Settings{
-			Name: name, Store: d, Lease: d, Engines: d, Places: d, Logger: slog.New(slog.DiscardHandler), TakeOver: takeOver,
+			Name: name, Store: d, Lease: d, Engines: d, Places: d, Logger: slog.New(slog.DiscardHandler), TakeOver: takeOver, Told: d.tell,
 			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
 		})
 		f.daemons[name] = d
@@ -287,6 +287,31 @@
 	d.updating[id] = time.Now().Before(until)
 }
 
+// tell hands the plan to all other daemons that can be reached.
+func (d *daemon) tell() {
+	plan := d.upgrader.Plan()
+	d.fleet.mu.Lock()
+	var others []*daemon
+	for name, other := range d.fleet.daemons {
+		if other != d && !d.fleet.cut[name] && !d.fleet.cut[d.name] {
+			others = append(others, other)
+		}
+	}
+	d.fleet.mu.Unlock()
+	for _, other := range others {
+		other.upgrader.Hear(plan)
+	}
+}
+
+func (d *daemon) Known(hash placer.TargetHash) (string, bool) {
+	for _, target := range d.Targets() {
+		if target.Hash() == hash {
+			return target.ID, true
+		}
+	}
+	return "", false
+}
+
 func (d *daemon) Updated(id, _ string, _ int64) { d.Updating(id, time.Time{}) }
 
 // want names new weights.
