upgrader: half of the engines go on serving while weights change

Cause (TestNewWeightsReachAllEngines, 10 of 60 streams refused once): with three engines, two loading and the next one being emptied left none. Change: at most half of the engines are kept from requests.

--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -13,6 +13,8 @@
 	// of them.
 	fewestAtOnce = 2
 	engineShare  = 6
+	// servingShare of the engines go on serving, whatever else holds.
+	servingShare = 2
 	// longestChange is how long a change is believed in before its target is used again.
 	longestChange = 6 * time.Second
 	// doneKept is how long the end of a change stays in the plan.
@@ -27,9 +29,17 @@
 	Wanted int64
 }
 
+// Progress counts the targets that are changing.
+type Progress struct {
+	// Changing are all from which requests are kept away.
+	Changing int
+	// Busy are those of them that will load for some time yet.
+	Busy int
+}
+
 // Next chooses the targets to change next: those with the oldest weights first, as many as there is
-// room for beside those that are changing.
-func Next(targets []placer.Target, wanted func(model string) int64, passedOver func(id string) bool, busy int) (next []Candidate) {
+// room for beside those that are changing. Half of the engines go on serving.
+func Next(targets []placer.Target, wanted func(model string) int64, passedOver func(id string) bool, progress Progress) (next []Candidate) {
 	engines := 0
 	for _, target := range targets {
 		if len(target.Versions) == 0 {
@@ -48,7 +58,8 @@
 	slices.SortFunc(next, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Has, b.Has), cmp.Compare(a.Target.ID, b.Target.ID))
 	})
-	return next[:max(min(atOnce(engines)-busy, len(next)), 0)]
+	room := min(atOnce(engines)-progress.Busy, max(engines/servingShare, 1)-progress.Changing)
+	return next[:max(min(room, len(next)), 0)]
 }
 
 // atOnce is how many engines may load at the same time.
@@ -59,16 +70,16 @@
 func (u *Upgrader) next() []Candidate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	busy := 0
+	progress := Progress{Changing: len(u.changing)}
 	for _, changing := range u.changing {
 		if changing.ordered.IsZero() || time.Since(changing.ordered) < u.loadTime-drainPause {
-			busy++
+			progress.Busy++
 		}
 	}
 	chosen := Next(u.settings.Places.Targets(), u.settings.Places.Wanted, func(id string) bool {
 		_, changing := u.changing[id]
 		return changing || time.Now().Before(u.unreachable[id])
-	}, busy)
+	}, progress)
 	for _, candidate := range chosen {
 		u.changing[candidate.Target.ID] = change{target: candidate.Target.Hash()}
 		delete(u.done, candidate.Target.ID)
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -505,13 +505,38 @@
 	})
 }
 
+func TestHalfOfTheEnginesGoOnServing(t *testing.T) {
+	inVirtualTime(t, 3, func(f *fleet) {
+		f.want(2)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			f.mu.Lock()
+			for name, d := range f.daemons {
+				away := 0
+				for _, updating := range d.updating {
+					if updating {
+						away++
+					}
+				}
+				if away > 1 {
+					t.Errorf("%s keeps requests away from %d of 3 engines", name, away)
+				}
+			}
+			f.mu.Unlock()
+		}
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
+			t.Errorf("the engines have %v", versions)
+		}
+	}, "a", "b")
+}
+
 func TestNextTakesTheOldestFirst(t *testing.T) {
 	target := func(id string, version int64) placer.Target {
 		return placer.Target{ID: id, Versions: map[string]int64{model: version}}
 	}
 	next := upgrader.Next([]placer.Target{
-		target("a", 3), target("b", 1), target("c", 2), target("d", 1), {ID: "plain"},
-	}, func(string) int64 { return 3 }, func(id string) bool { return id == "d" }, 1)
+		target("a", 3), target("b", 1), target("c", 2), target("d", 1), target("e", 3), {ID: "plain"},
+	}, func(string) int64 { return 3 }, func(id string) bool { return id == "d" }, upgrader.Progress{Changing: 1, Busy: 1})
 	if len(next) != 1 || next[0].Target.ID != "b" {
 		t.Errorf("next are %+v", next)
 	}
