--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -40,6 +40,23 @@
 	}
 }
 
+func TestLimitsOfTheConfigurationHold(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	if r := f.call(d, http.MethodGet, "/look/a", "h", "", "X-Long", strings.Repeat("x", 17000)); r.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("a header over the limit: %+v", r)
+	}
+	if r := f.call(d, http.MethodPost, "/order/a", "b", strings.Repeat("x", 1<<20+1)); r.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body over the limit: %d %v", r.status, r.err)
+	}
+	if r := f.call(d, http.MethodPost, "/order/a", "d", "", "X-Deadline-Ms", "soon"); r.status != http.StatusBadRequest {
+		t.Errorf("a malformed header: %+v", r)
+	}
+	if found := runs(f.services, "h"); len(found)+len(runs(f.services, "b"))+len(runs(f.services, "d")) > 0 {
+		t.Error("a request that was refused ran")
+	}
+}
+
 func TestStreamThatBreaksGoesOnElsewhere(t *testing.T) {
 	f := newFleet(t, 1)
 	for _, engine := range f.engines[:2] {
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -121,6 +121,10 @@
 		platform.Codec{}.Refuse(w, relayer.Stopping())
 		return
 	}
+	if e.headerTooLarge(r) {
+		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: relayer.ReasonHeaderTooLarge, NotRun: true})
+		return
+	}
 	body, err := platform.ReadBody(w, r, e.bodyBound())
 	if err != nil {
 		e.refuseBody(w, err)
@@ -135,6 +139,24 @@
 	e.relayer.Relay(r.Context(), w, call)
 }
 
+// headerTooLarge holds the request line and the header against the configuration's limit.
+func (e *edge) headerTooLarge(r *http.Request) bool {
+	catalog := e.daemon.knowledge.Catalog()
+	if catalog == nil || catalog.Limits().MaxHeaderBytes <= 0 {
+		return false
+	}
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerSeparators
+		}
+	}
+	return size > catalog.Limits().MaxHeaderBytes
+}
+
+// headerSeparators are the bytes between and after the name and the value of a header.
+const headerSeparators = 4
+
 func (e *edge) bodyBound() int64 {
 	if catalog := e.daemon.knowledge.Catalog(); catalog != nil && catalog.Limits().MaxBodyBytes > 0 {
 		return int64(catalog.Limits().MaxBodyBytes)
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -17,6 +17,7 @@
 	ReasonUnknownKey      Reason = "unknown_key"
 	ReasonMalformed       Reason = "malformed"
 	ReasonTooLarge        Reason = "too_large"
+	ReasonHeaderTooLarge  Reason = "header_too_large"
 	ReasonNoTarget        Reason = "no_target"
 	ReasonNotInTime       Reason = "not_in_time"
 	ReasonShed            Reason = "shed"
