upgrader, leaser: a holder orders only under a fresh lease, so the next one waits less

Cause: two holders froze within 8 s of each other; each time the lease took 2 s to lapse, and the next holder waited 3 s more, though the former could not have given an order in the last 1.3 s of its lease. Change: a holder renews every 0.23 s and gives orders only up to 0.7 s after its last renewal; the next one counts the rest of the lease as quiet, unless the former left with its own word. Red before: TestNextHolderKnowsHowOldTheLastOrderIs. Also: the targets' own word on their requests counts for 0.3 s; an engine with other weights is not taken for shedding.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -219,16 +219,26 @@
 func (d *Daemon) starting() bool { return time.Since(d.started) < time.Second }
 
 func (d *Daemon) newDuties() duties {
+	ttl := d.settings.Hosted.LeaseTime * 2 / 3
 	lease := leaser.New(leaser.Settings{
-		Store: d.store, TTL: d.settings.Hosted.LeaseTime * 2 / 3, Logger: d.log("leaser"),
+		Store: d.store, TTL: ttl, Interval: func() time.Duration { return d.renewal(ttl) }, Logger: d.log("leaser"),
 		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
 	})
 	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
-		Places: d.knowledge.places, Logger: d.log("upgrader"), TakeOver: d.settings.Hosted.LeaseTime,
+		Places: d.knowledge.places, Logger: d.log("upgrader"), TakeOver: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
 	})}
 }
 
+// renewal is the time between two renewals of the lease: a holder of the duty renews more often, since
+// it gives orders only under a fresh lease.
+func (d *Daemon) renewal(ttl time.Duration) time.Duration {
+	if d.duties.upgrader != nil && d.duties.upgrader.Holding() {
+		return upgrader.OrderAge / 3
+	}
+	return ttl / 3
+}
+
 // follow lists the prefixes of the store that the daemon follows.
 func (d *Daemon) follow() {
 	k := d.knowledge
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -57,6 +57,8 @@
 	Key    string
 	Value  []byte
 	Logger *slog.Logger
+	// Interval is the time between two renewals. Default: a third of TTL.
+	Interval func() time.Duration
 	// Now is the clock of the lease. Default: clocker.Now.
 	Now func() clocker.Instant
 }
@@ -70,6 +72,8 @@
 	mu    sync.Mutex
 	lease storer.LeaseID
 	until clocker.Instant
+	// renewed is when the last call was sent that the store has answered.
+	renewed clocker.Instant
 }
 
 // New returns a Leaser without a lease.
@@ -77,6 +81,9 @@
 	if settings.Now == nil {
 		settings.Now = clocker.Now
 	}
+	if settings.Interval == nil {
+		settings.Interval = func() time.Duration { return settings.TTL / renewalsPerTTL }
+	}
 	return &Leaser{settings: settings, cancel: func() {}}
 }
 
@@ -106,6 +113,13 @@
 	return l.lease, l.lease != storer.NoLease && l.settings.Now().Before(l.until)
 }
 
+// Age is the time since the last renewal that the store has answered was sent.
+func (l *Leaser) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.settings.Now().Sub(l.renewed)
+}
+
 func (l *Leaser) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := l.acquire(ctx); err != nil {
@@ -137,8 +151,7 @@
 
 // keep renews until the lease has ended.
 func (l *Leaser) keep(ctx context.Context) {
-	interval := l.settings.TTL / renewalsPerTTL
-	wait := interval
+	wait := l.settings.Interval()
 	for waiter.Pause(ctx, wait) {
 		sent := l.settings.Now()
 		lease, _ := l.Held()
@@ -153,7 +166,7 @@
 			wait = retryPause/2 + rand.N(retryPause)
 			continue
 		}
-		wait = interval
+		wait = l.settings.Interval()
 		l.hold(lease, sent, ttl)
 	}
 }
@@ -163,4 +176,5 @@
 	defer l.mu.Unlock()
 	l.lease = lease
 	l.until = sent.Add(ttl - ttl/margin)
+	l.renewed = sent
 }
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -9,6 +9,7 @@
 	call, now := prompt.call, prompt.now
 	c := candidate{target: t, version: t.Versions[call.Model]}
 	load := t.load()
+	load.requests = t.requests(load, now)
 	c.expected = time.Duration(max(load.requests, 0)) * runningCost
 	if over := load.requests + 1 - t.Slots; over > 0 {
 		c.expected += time.Duration(over) * slotCost
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -176,7 +176,7 @@
 
 // SawLoad notes how many requests the target has in hand.
 func (f *Flight) SawLoad(requests int) {
-	f.note(func(t *target, now time.Time) { t.running, t.reported = requests, now })
+	f.note(func(t *target, now time.Time) { t.reportedRequests, t.reported = requests, now })
 }
 
 func (f *Flight) note(change func(t *target, now time.Time)) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -437,3 +437,21 @@
 	}
 	t.Error("a target that has answered again gets nothing")
 }
+
+// The pattern: daemons that are cut off from each other share their targets.
+func TestTargetsOwnWordOnItsRequestsCounts(t *testing.T) {
+	f := newFixture(t, 2)
+	f.choose(brief(), "e1").Flight.SawLoad(200)
+	for range 20 {
+		if choice := f.choose(brief()); choice.Target.ID == "e0" {
+			t.Fatal("a request went to a target that says that it has 200 in hand")
+		}
+	}
+	f.now = f.now.Add(time.Second)
+	for range 40 {
+		if choice := f.choose(brief()); choice.Target.ID == "e0" {
+			return
+		}
+	}
+	t.Error("what a target said a second ago still counts")
+}
--- a/placer/target.go
+++ b/placer/target.go
@@ -91,9 +91,21 @@
 	silentSince time.Time
 	// patience is how long that send may go without an answer.
 	patience time.Duration
-	// running is what the target last said of its running and waiting requests.
-	running  int
-	reported time.Time
+	// reportedRequests is what the target last said of its running and waiting requests.
+	reportedRequests int
+	reported         time.Time
+}
+
+// reportBound is how long the target's own word on its requests counts.
+const reportBound = 300 * time.Millisecond
+
+// requests counts the requests in hand, by the daemons' word and by the target's own: it also has those
+// of daemons that cannot be heard.
+func (t *target) requests(load work, now time.Time) int {
+	if now.Sub(t.reported) > reportBound {
+		return load.requests
+	}
+	return max(load.requests, t.reportedRequests)
 }
 
 func newTarget(described Target) *target {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -104,7 +104,7 @@
 	case answer.Weights > 0:
 		choice.Flight.SawVersion(answer.Weights)
 	}
-	if answer.NotRun && !answer.OtherTarget {
+	if answer.NotRun && !answer.OtherTarget && !answer.OtherWeights {
 		choice.Flight.Shed()
 	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -142,6 +142,25 @@
 	}
 }
 
+// Once a target may have run the request, no refusal may say that it has not run.
+func TestRefusalAfterARunIsNoPromise(t *testing.T) {
+	for name, refuse := range map[string]func(w *world){
+		"no other target": func(w *world) { w.places.SetTargets(nil) },
+		"too late":        func(w *world) { w.expect = time.Minute },
+		"no contact":      func(w *world) { w.age = time.Minute },
+		"key taken away": func(w *world) {
+			w.catalog = cataloger.New(2, cataloger.Declarations{Routes: routes(), Accounts: []cataloger.Account{{Name: "other", Keys: []string{"k"}}}})
+		},
+	} {
+		w := newWorld()
+		w.answers = []answer{{err: broken.err, before: func() { refuse(w) }}}
+		seen := relayOnce(t, w, "/resume/")
+		if len(w.sent) != 1 || seen.status != http.StatusBadGateway || seen.notRun {
+			t.Errorf("%s: %+v after %d sends", name, seen, len(w.sent))
+		}
+	}
+}
+
 func TestDeadlineEndsTheRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(answer{before: func() { time.Sleep(5 * time.Second) }, status: 200})
--- a/upgrader/change.go
+++ b/upgrader/change.go
@@ -83,7 +83,7 @@
 		case report.Versions[c.Model] >= c.Wanted && !report.Busy:
 			u.loaded(c.Target.ID)
 			return report.Versions[c.Model], "changed"
-		case !report.Busy && time.Since(ordered) > repeatAfter:
+		case !report.Busy && time.Since(ordered) > repeatAfter && u.mayOrder():
 			if outcome := u.order(ctx, c, report); outcome != ResultAccepted && outcome != ResultConflict {
 				return report.Versions[c.Model], "refused"
 			}
@@ -120,8 +120,8 @@
 func (u *Upgrader) order(ctx context.Context, c Candidate, report Report) Result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !u.holding() {
-		return ResultFenced
+	if !u.mayOrder() {
+		return ResultConflict // Another look at the engine comes before the next try.
 	}
 	u.mu.Lock()
 	fence := u.fence
--- a/upgrader/duty.go
+++ b/upgrader/duty.go
@@ -21,7 +21,12 @@
 	return u.fence == 0 || held && lease == u.lease
 }
 
-// holding says whether this daemon may give orders now.
+// mayOrder says whether this daemon may give an order at this moment: its lease has just been renewed.
+func (u *Upgrader) mayOrder() bool {
+	return u.holding() && u.settings.Lease.Age() < OrderAge
+}
+
+// holding says whether this daemon holds the duty and the time of the holder before is over.
 func (u *Upgrader) holding() bool {
 	lease, held := u.settings.Lease.Held()
 	u.mu.Lock()
@@ -74,7 +79,7 @@
 	before := decodeFormer(former.Value)
 	wait := time.Duration(0)
 	if known && before.name != u.settings.Name {
-		wait = max(u.settings.TakeOver-before.quiet, 0)
+		wait = max(u.settings.TakeOver-before.since(u.settings.LeaseTTL), 0)
 	}
 	u.lost = time.Time{}
 	u.claim = claim{lease: lease, former: before.name, from: u.settings.Now().Add(wait)}
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -85,6 +85,8 @@
 // Lease tells whether the daemon's lease holds.
 type Lease interface {
 	Held() (lease storer.LeaseID, held bool)
+	// Age is the time since the last renewal that the store has answered was sent.
+	Age() time.Duration
 }
 
 // Places knows the targets and what is wanted of them.
@@ -109,10 +111,17 @@
 	Told func()
 	// TakeOver is how long a new holder waits for orders of the one before to have arrived.
 	TakeOver time.Duration
+	// LeaseTTL is how long a lease goes on after its last renewal.
+	LeaseTTL time.Duration
 	// Now is the clock of the duty. Default: clocker.Now.
 	Now func() clocker.Instant
 }
 
+// OrderAge is the age of the lease up to which a holder gives orders. The duty falls vacant a whole
+// LeaseTTL after the last renewal, so the next holder knows that no order is younger than the
+// difference, and waits so much less.
+const OrderAge = 700 * time.Millisecond
+
 // Upgrader is the part of one daemon in the duty.
 type Upgrader struct {
 	settings Settings
@@ -212,7 +221,7 @@
 	defer cancel()
 	u.mu.Lock()
 	fence := u.fence
-	left := formerHolder{name: u.settings.Name, quiet: u.settings.Now().Sub(u.lastOrder)}
+	left := formerHolder{name: u.settings.Name, left: true, quiet: u.settings.Now().Sub(u.lastOrder)}
 	u.mu.Unlock()
 	_, err := u.settings.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: holderKey, Version: fence}},
@@ -223,6 +232,13 @@
 	return err
 }
 
+// Holding says whether this daemon holds the duty, and should renew its lease well within OrderAge.
+func (u *Upgrader) Holding() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.fence != 0
+}
+
 // Wake looks for work at once, such as after new weights were named.
 func (u *Upgrader) Wake() {
 	select {
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -26,6 +26,7 @@
 const (
 	model    = "m"
 	takeOver = 3 * time.Second
+	leaseTTL = 2 * time.Second
 	loadTime = 800 * time.Millisecond
 )
 
@@ -72,7 +73,9 @@
 	held     bool
 	upgrader *upgrader.Upgrader
 	updating map[string]bool
-	hearing  sync.Mutex
+	// stale is since when the lease is not renewed; zero where it is.
+	stale   time.Time
+	hearing sync.Mutex
 }
 
 func newFleet(engines int, daemons ...string) *fleet {
@@ -83,7 +86,7 @@
 	for i, name := range daemons {
 		d := &daemon{fleet: f, name: name, lease: storer.LeaseID(fmt.Sprint(i + 1)), held: true, updating: make(map[string]bool)}
 		d.upgrader = upgrader.New(upgrader.Settings{
-			Name: name, Store: d, Lease: d, Engines: d, Places: d, Logger: slog.New(slog.DiscardHandler), TakeOver: takeOver, Told: d.tell,
+			Name: name, Store: d, Lease: d, Engines: d, Places: d, Logger: slog.New(slog.DiscardHandler), TakeOver: takeOver, LeaseTTL: leaseTTL, Told: d.tell,
 			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
 		})
 		f.daemons[name] = d
@@ -104,9 +107,17 @@
 	}
 }
 
+// cutOff takes a daemon's way to the store away. It does not know at once, and goes by its lease's age.
+func (f *fleet) cutOff(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[name], f.daemons[name].stale = true, time.Now()
+}
+
 // lapse ends the lease of a daemon at the store and tells all that reach it.
 func (f *fleet) lapse(name string) {
 	f.mu.Lock()
+	f.daemons[name].held = false
 	var events []storer.Event
 	for key, item := range f.items {
 		if item.Lease == f.daemons[name].lease {
@@ -171,6 +182,15 @@
 	return d.lease, d.held
 }
 
+func (d *daemon) Age() time.Duration {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	if d.stale.IsZero() {
+		return 0
+	}
+	return time.Since(d.stale)
+}
+
 func (d *daemon) Commit(_ context.Context, transaction storer.Transaction) (storer.Version, error) {
 	f := d.fleet
 	f.mu.Lock()
@@ -406,11 +426,8 @@
 		f.want(2)
 		time.Sleep(2 * time.Second)
 		first := f.holder()
-		f.mu.Lock()
-		f.cut[first] = true
-		f.daemons[first].held = false
-		f.mu.Unlock()
-		time.Sleep(time.Second)
+		f.cutOff(first)
+		time.Sleep(leaseTTL)
 		f.lapse(first)
 		time.Sleep(20 * time.Second)
 		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
@@ -419,6 +436,31 @@
 	}, "a", "b", "c")
 }
 
+// The pattern: two holders freeze within the time that new weights may take everywhere.
+func TestNextHolderKnowsHowOldTheLastOrderIs(t *testing.T) {
+	inVirtualTime(t, 18, func(f *fleet) {
+		f.want(2)
+		time.Sleep(time.Second)
+		first := f.holder()
+		f.cutOff(first)
+		cut := time.Now()
+		time.Sleep(leaseTTL)
+		f.lapse(first)
+		time.Sleep(4 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, order := range f.orders {
+			if order.holder != first {
+				if after := order.at.Sub(cut); after > takeOver+upgrader.OrderAge+1200*time.Millisecond {
+					t.Errorf("the next holder gave its first order %s after the cut", after)
+				}
+				return
+			}
+		}
+		t.Error("the next holder gave no order")
+	}, "a", "b", "c")
+}
+
 // A daemon that took the duty without hearing so finds its own name there.
 func TestLostAnswerToTheClaimOfTheDuty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -488,9 +530,8 @@
 				case step == 1:
 					_ = f.daemons[holder].upgrader.Close()
 				case step == 2:
-					f.mu.Lock()
-					f.cut[holder], f.daemons[holder].held = true, false
-					f.mu.Unlock()
+					f.cutOff(holder)
+					time.Sleep(leaseTTL)
 					f.lapse(holder)
 				}
 				time.Sleep(700 * time.Millisecond)
