relayer, connector, platform, placer: one admission before each send, one list of headers of a connection

Found in the last read: a request was admitted twice before its first send, which hashed its body twice; the headers that concern one connection stood in relayer and in platform; connector.Forget had no caller; placer.Alive repeated Known.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -235,17 +235,6 @@
 	c.idle[conn.address] = append(kept, conn)
 }
 
-// Forget closes the idle connections to an address.
-func (c *Connector) Forget(address netip.AddrPort) {
-	c.mu.Lock()
-	kept := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, conn := range kept {
-		_ = conn.Close() // Nothing is left to send.
-	}
-}
-
 // write sends the request, a large one beside the reading of the answer.
 func (c *connection) write(head, body []byte) <-chan error {
 	written := make(chan error, 1)
@@ -353,6 +342,15 @@
 	}
 }
 
+// OfConnection says whether a header concerns one connection alone, and is not passed on.
+func OfConnection(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Te", "Trailer", "Upgrade", "Proxy-Connection":
+		return true
+	}
+	return false
+}
+
 // NewResponse returns a response without a connection, for stand-ins of a Connector.
 func NewResponse(status int, header http.Header, body io.ReadCloser) *Response {
 	response := &Response{Status: status, Header: header, body: body, stop: func() bool { return false }}
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -150,9 +150,8 @@
 
 // Alive says whether an incarnation of a target is known.
 func (p *Placer) Alive(incarnation uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.byHash[TargetHash(incarnation)] != nil
+	_, known := p.Known(TargetHash(incarnation))
+	return known
 }
 
 // Peers returns how many other daemons were heard of lately.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -165,7 +165,7 @@
 	u.begun = true
 	header := u.writer.Header()
 	for name, values := range response.Header {
-		if !ofConnection(name) {
+		if !connector.OfConnection(name) {
 			header[name] = values
 		}
 	}
@@ -176,15 +176,6 @@
 	u.writer.WriteHeader(response.Status)
 }
 
-// ofConnection says whether a header concerns one connection alone.
-func ofConnection(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Te", "Trailer", "Upgrade", "Proxy-Connection":
-		return true
-	}
-	return false
-}
-
 // callerLeft ends a run whose caller takes no more.
 func (u *run) callerLeft(err error) verdict {
 	u.cause = err
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -79,17 +79,13 @@
 
 func (u *run) relay() {
 	if refusal := u.admit(); refusal != nil {
-		u.refuse(refusal)
+		u.end(refusal)
 		return
 	}
 	u.relayer.settings.Budget.Deposit(u.service)
 	ctx, cancel := context.WithDeadline(u.ctx, u.deadline)
 	defer cancel()
 	for {
-		if refusal := u.admit(); refusal != nil {
-			u.end(refusal)
-			return
-		}
 		choice, refusal := u.choose()
 		if refusal != nil {
 			u.end(refusal)
@@ -103,6 +99,10 @@
 			u.end(refusal)
 			return
 		}
+		if refusal := u.admit(); refusal != nil { // The configuration may have changed meanwhile.
+			u.end(refusal)
+			return
+		}
 	}
 }
 
