--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -170,6 +170,9 @@
 	inFleet(t, 1, []string{faultNone, faultCrashAfter}, func(t *testing.T, f *fleet) {
 		_, _ = dispatch(f.host(0), "k", "wheel")
 		_, _ = dispatch(f.host(0), "broken", "wheel")
+		// A caller has its answer before the ledger has the outcome. Waiting lets the write end and
+		// lets no time pass.
+		synctest.Wait()
 		unsettled, err := f.host(0).d.Unsettled(t.Context())
 		if err != nil || len(unsettled) != 1 || unsettled[0].State != dispatcher.StateMayHaveRun {
 			t.Errorf("unsettled %+v, %v", unsettled, err)
