--- a/placer/flight.go
+++ b/placer/flight.go
@@ -10,9 +10,11 @@
 	placer *Placer
 	target *target
 	model  string
-	work   work
-	alone  bool
-	began  time.Time
+	// version is the weights that the target was believed to have.
+	version int64
+	work    work
+	alone   bool
+	began   time.Time
 	// placed are the parts that the target was not known to hold before.
 	placed []partKey
 
@@ -24,7 +26,7 @@
 func (p *Placer) begin(call Call, best candidate, now time.Time) *Flight {
 	t := best.target
 	f := &Flight{
-		placer: p, target: t, model: call.Model, began: now,
+		placer: p, target: t, model: call.Model, version: best.version, began: now,
 		work: work{requests: 1, held: call.ownTokens()},
 	}
 	f.work.unread[call.Urgency] = best.read + requestTokens(call)
@@ -89,6 +91,25 @@
 	return total
 }
 
+// beginMargin is how long before the bound on replaced weights a request is taken back. It covers the
+// way of the close to the target, and that the bound counts from the operator's write.
+const beginMargin = 700 * time.Millisecond
+
+// BeginBy returns by when the request must have begun, as far as is known now: later it would begin on
+// weights that are replaced for too long. A request that has not must be taken back. Weights that are
+// the newest now may be replaced at any time, so the answer is to be asked for again at that time.
+func (f *Flight) BeginBy() (by time.Time) {
+	p := f.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	version := max(f.version, f.target.Versions[f.model])
+	allowed := p.settings.VersionBound - beginMargin
+	if since, replaced := p.wanted[f.model].replacedSince(version, p.unknownSince()); replaced {
+		return since.Add(allowed)
+	}
+	return p.settings.Now().Add(allowed)
+}
+
 // Started notes the first event: the prompt is read.
 func (f *Flight) Started() {
 	f.mu.Lock()
@@ -164,6 +185,11 @@
 	})
 }
 
+// Withdrawn notes that the daemon took the request back before it began.
+func (f *Flight) Withdrawn() {
+	f.note(func(t *target, _ time.Time) { f.unplace(t) })
+}
+
 // Left notes that the target takes no more work, or is not the one that was meant.
 func (f *Flight) Left() {
 	f.note(func(t *target, _ time.Time) { t.left = true })
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -455,3 +455,22 @@
 	}
 	t.Error("what a target said a second ago still counts")
 }
+
+func TestWhenARequestMustHaveBegun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.placer.Want(model, 1, true)
+	flight := f.choose(brief()).Flight
+	newest := flight.BeginBy().Sub(f.now)
+	f.now = f.now.Add(2 * time.Second)
+	named := f.now
+	f.placer.Want(model, 2, true)
+	f.now = f.now.Add(3 * time.Second)
+	replaced := flight.BeginBy().Sub(named)
+	if newest != replaced || replaced >= versionBound || replaced < versionBound-time.Second {
+		t.Errorf("a request must have begun %s after weights may be replaced and %s after they are, within %s", newest, replaced, versionBound)
+	}
+	flight.SawVersion(2)
+	if upgraded := flight.BeginBy(); !upgraded.Equal(f.now.Add(newest)) {
+		t.Errorf("on a target that has the newest weights by now: %s", upgraded.Sub(f.now))
+	}
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -22,6 +22,12 @@
 	defer choice.Flight.Finished()
 	u.sends++
 	u.target, u.version, u.choice = choice.Target.ID, choice.Version, choice
+	u.beginning = nil
+	if choice.Version > 0 {
+		watched, beginning := watchBeginning(ctx, choice.Flight)
+		defer beginning.end()
+		ctx, u.beginning = watched, beginning
+	}
 	request := u.relayer.settings.Codec.Request(u.call, u.describe(choice))
 	response, err := u.relayer.settings.Targets.Send(ctx, choice.Target.Address, request)
 	if err != nil {
@@ -86,7 +92,17 @@
 		return unsent
 	}
 	u.runs++
-	if ctx.Err() != nil {
+	return u.cutOff(ctx, choice)
+}
+
+// cutOff classifies an attempt whose answer is missing or incomplete.
+func (u *run) cutOff(ctx context.Context, choice placer.Choice) verdict {
+	switch {
+	case tookBack(ctx):
+		u.cause = context.Cause(ctx)
+		choice.Flight.Withdrawn()
+		return takenBack
+	case ctx.Err() != nil:
 		return abandoned
 	}
 	choice.Flight.Broke()
@@ -109,6 +125,14 @@
 	}
 }
 
+// started notes the first event of an attempt.
+func (u *run) started(choice placer.Choice) {
+	choice.Flight.Started()
+	if u.beginning != nil {
+		u.beginning.begun()
+	}
+}
+
 // drain reads the rest of a small answer so that its connection can be used again.
 func (u *run) drain(response *connector.Response) {
 	if _, err := io.CopyN(io.Discard, response.Body, bufferedAnswer); err != nil && !errors.Is(err, io.EOF) {
@@ -124,7 +148,7 @@
 	if err != nil && !whole {
 		return u.brokenAnswer(ctx, choice, err)
 	}
-	choice.Flight.Started()
+	u.started(choice)
 	u.first = time.Since(u.call.Arrived)
 	if whole && response.Status >= http.StatusInternalServerError && u.worthRepeating() {
 		return failedThere
@@ -153,11 +177,7 @@
 
 func (u *run) brokenAnswer(ctx context.Context, choice placer.Choice, err error) verdict {
 	u.cause = err
-	if ctx.Err() != nil {
-		return abandoned
-	}
-	choice.Flight.Broke()
-	return broken
+	return u.cutOff(ctx, choice)
 }
 
 // begin passes on the head of an answer.
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -37,10 +37,13 @@
 	left    []time.Duration
 	budget  int
 	strikes map[uint64]int
+	// closed counts the attempts whose connection was closed before an answer.
+	closed  int
 	convict bool
 	expect  time.Duration
 	flights []*placer.Flight
 	places  *placer.Placer
+	prompt  relayer.Prompt
 }
 
 // answer is what a target does with a request.
@@ -55,6 +58,9 @@
 	cut bool
 	// before runs before the answer.
 	before func()
+	// queued is how long the request waits at the target before it gives its first event, unless its
+	// connection is closed.
+	queued time.Duration
 }
 
 var (
@@ -72,11 +78,18 @@
 			Objective: 200 * time.Millisecond, MaxAttempts: 2, Shares: []cataloger.Share{{Service: "s", Weight: 1}},
 		}
 	}
+	patient := func(prefix string, repeat cataloger.Repeat, resumable bool) cataloger.Route {
+		r := route(prefix, repeat, resumable)
+		r.Timeout = time.Minute
+		return r
+	}
 	return []cataloger.Route{
 		route("/once/", cataloger.RepeatNever, false),
 		route("/often/", cataloger.RepeatFreely, false),
 		route("/stream/", cataloger.RepeatStream, false),
 		route("/resume/", cataloger.RepeatStream, true),
+		patient("/slow/", cataloger.RepeatStream, true),
+		patient("/slow-once/", cataloger.RepeatStream, false),
 	}
 }
 
@@ -94,6 +107,28 @@
 	return w
 }
 
+const (
+	model = "m"
+	// versionBound is how long after newer weights are named a request may begin on the ones before.
+	versionBound = 10 * time.Second
+)
+
+func engine(id string, version int64) placer.Target {
+	return placer.Target{
+		ID: id, Service: "s", Slots: 4, Address: netip.MustParseAddrPort("10.0.0.1:80"), Versions: map[string]int64{model: version},
+	}
+}
+
+// withWeights makes the targets engines of a model whose newer weights were named some time ago.
+func (w *world) withWeights(ago time.Duration) {
+	w.places = placer.New(placer.Settings{Now: time.Now, VersionBound: versionBound})
+	w.places.SetTargets([]placer.Target{engine("a", 1), engine("b", 1), engine("c", 1)})
+	w.prompt = relayer.Prompt{Model: model}
+	w.places.Want(model, 1, true)
+	w.places.Want(model, 2, true)
+	time.Sleep(ago)
+}
+
 func (w *world) Catalog() *cataloger.Catalog  { return w.catalog }
 func (w *world) ContactAge() time.Duration    { return w.age }
 func (w *world) Deposit(string)               {}
@@ -144,7 +179,12 @@
 	if next.before != nil {
 		next.before()
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(next.queued):
+	}
 	if ctx.Err() != nil {
+		w.closed++
 		return nil, &connector.BrokenError{Cause: ctx.Err()}
 	}
 	if next.err != nil {
@@ -181,6 +221,7 @@
 		defer func() { seen.aborted = recover() != nil }()
 		r.Relay(ctx, recorder, &relayer.Call{
 			ID: "1", Method: http.MethodPost, URI: path + "x", Path: path + "x", Host: host, Header: http.Header{}, Key: key, Arrived: time.Now(),
+			Prompt: w.prompt,
 		})
 	}()
 	seen.status, seen.body = recorder.Code, recorder.Body.String()
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -24,6 +24,7 @@
 	ReasonUnreachable     Reason = "unreachable"
 	ReasonCrashesTargets  Reason = "crashes_targets"
 	ReasonBroken          Reason = "broken"
+	ReasonReplacedWeights Reason = "replaced_weights"
 	ReasonDeadline        Reason = "deadline"
 )
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
+	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
 func TestHowAttemptsEnd(t *testing.T) {
@@ -208,3 +209,54 @@
 		}
 	}
 }
+
+// A request that still waits when its weights may no longer begin one is taken back, and goes
+// elsewhere where that is allowed.
+func TestRequestIsTakenBackFromReplacedWeights(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		ago    time.Duration
+		queued time.Duration
+		status int
+		sends  int
+	}{
+		{"begins in time", "/slow/", 7 * time.Second, time.Second, 200, 1},
+		{"begins late", "/slow/", 7 * time.Second, 4 * time.Second, 200, 2},
+		{"begins late and can't go on", "/slow-once/", 7 * time.Second, 4 * time.Second, 502, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(answer{status: 200, body: "id: 1\n\n", queued: c.queued}, good)
+			w.withWeights(c.ago)
+			w.answers[0].before = func() {
+				w.places.SetTargets([]placer.Target{engine(w.sent[0], 1), engine("other", 2)})
+			}
+			started := time.Now()
+			seen := w.relay(t.Context(), c.path)
+			if seen.status != c.status || len(w.sent) != c.sends || seen.notRun {
+				t.Errorf("%s: %+v after %d sends, want %d after %d", c.name, seen, len(w.sent), c.status, c.sends)
+			}
+			if took := time.Since(started); c.ago+took >= versionBound {
+				t.Errorf("%s: the request was at the target until %s after its weights were replaced", c.name, c.ago+took)
+			}
+			if len(w.strikes) > 0 {
+				t.Errorf("%s: the request counts as one that breaks targets", c.name)
+			}
+		})
+	}
+}
+
+// Weights that are named while a request waits bound it too.
+func TestWeightsNamedWhileARequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(answer{status: 200, body: "id: 1\n\n", queued: 50 * time.Second}, good)
+		w.withWeights(time.Second)
+		w.places.SetTargets([]placer.Target{engine("newer", 2)})
+		time.AfterFunc(5*time.Second, func() { w.places.Want(model, 3, true) })
+		started := time.Now()
+		w.relay(t.Context(), "/slow-once/")
+		if took := time.Since(started); took >= 5*time.Second+versionBound || w.closed != 1 {
+			t.Errorf("the request waited %s, %d connections were closed", took, w.closed)
+		}
+	})
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -48,6 +48,8 @@
 	// begun says that the head of an answer was passed on.
 	begun bool
 	abort bool
+	// beginning watches the attempt until its first event; it is nil for plain services.
+	beginning *beginning
 
 	// What follows is for the log.
 	result  string
@@ -73,6 +75,8 @@
 	broken
 	// failedThere: the target ran the request and answered that it failed.
 	failedThere
+	// takenBack: the request had not begun when its weights were replaced for too long.
+	takenBack
 	// abandoned: the caller has left or the deadline has passed.
 	abandoned
 )
@@ -236,6 +240,9 @@
 	if mayRepeat && u.relayer.settings.Budget.Withdraw(u.service) {
 		return nil
 	}
+	if ended == takenBack {
+		return failed(http.StatusBadGateway, ReasonReplacedWeights)
+	}
 	return failed(http.StatusBadGateway, ReasonBroken)
 }
 
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -36,7 +36,7 @@
 			whole = len(pending)
 		}
 		if whole >= len(eventEnd) {
-			choice.Flight.Started()
+			u.started(choice)
 			if writeErr := u.passEvents(response, pending[:whole], flusher); writeErr != nil {
 				return u.callerLeft(writeErr)
 			}
