--- a/assembler/translation.go
+++ b/assembler/translation.go
@@ -42,5 +42,8 @@
 	if !found {
 		return placer.Store{}
 	}
-	return placer.Store{Address: store.Address, CacheTokens: store.CacheTokens, LinkBitsPerSecond: store.LinkBitsPerSecond}
+	return placer.Store{
+		Address: store.Address, DataCentre: store.DataCentre,
+		CacheTokens: store.CacheTokens, LinkBitsPerSecond: store.LinkBitsPerSecond,
+	}
 }
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -60,7 +60,7 @@
 		c.fetched, c.fetchFrom, c.fetchedFromStore = source.tokens, source.address, source.store
 		c.read -= source.tokens
 	}
-	c.save = !c.fetchedFromStore && p.worthSaving(call, known.keys)
+	c.save = !c.fetchedFromStore && p.worthSaving(call, known.keys, prompt.now)
 	c.expected += source.takes + p.rates[call.Service].reading(load.unread.ahead(call.Urgency)+c.read+requestTokens(call))
 	if engine.CacheTokens > 0 && load.held+call.ownTokens() > int(fullShare*float64(engine.CacheTokens)) {
 		c.expected += preemptionCost
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -50,18 +50,26 @@
 		p.tell(t.hash, key, call.Parts[i].Tokens)
 	}
 	p.placeOwn(t, call, bound)
-	daemons := time.Duration(len(p.peers) + 1) // The others move as much.
-	engine := p.engines[call.Service]
+	p.useStore(t, call, best, keys, now)
+	return placed
+}
+
+// useStore notes what the call brings from the store or sends there.
+func (p *Placer) useStore(t *target, call Call, best candidate, keys []partKey, now time.Time) {
 	if best.fetchedFromStore {
-		p.store.occupy(daemons*p.store.transfer(engine, best.fetched), now)
+		p.store.fetched(p.store.transfer(p.engines[call.Service], best.fetched, t.DataCentre), now)
+		for _, key := range keys {
+			p.store.cached.use(key, p.store.cached.held(key), p.store.CacheTokens)
+		}
 	}
 	if best.save {
-		p.saved(call, keys)
-		p.store.occupy(daemons*p.store.transfer(engine, call.sharedTokens()), now)
+		p.store.save(keys, now)
 	}
-	return placed
 }
 
+// daemons counts this daemon and the peers that are heard of.
+func (p *Placer) daemons() int { return len(p.peers) + 1 }
+
 // placeOwn notes the part that belongs to the call alone: it takes room though nobody asks for it
 // again. Small ones are not told to the peers, so each stands for those of all daemons.
 func (p *Placer) placeOwn(t *target, call Call, bound int) {
@@ -71,7 +79,7 @@
 	p.filler++
 	key, tokens := partKey(p.filler), call.ownTokens()
 	if tokens < toldTokens {
-		t.cached.use(key, tokens*(len(p.peers)+1), bound)
+		t.cached.use(key, tokens*p.daemons(), bound)
 		return
 	}
 	key ^= partKey(p.fillerSeed)
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -94,16 +95,29 @@
 			break
 		}
 	}
-	store := p.placer.store
-	if held := p.call.cachedTokens(store.cached, known.keys) - cached; store.usable() && held >= fetchedTokens && held > best.tokens {
-		best = source{address: store.Address, tokens: held, takes: fetchOverhead + store.delay(engine, held, p.now), store: true}
+	if held := p.call.cachedTokens(p.placer.store.cached, known.keys) - cached; held >= fetchedTokens && held > best.tokens {
+		if takes := p.fromStore(t, held); takes < p.placer.rates[p.call.Service].reading(held) {
+			best = source{address: p.placer.store.Address, tokens: held, takes: takes, store: true}
+		}
 	}
 	return best
 }
 
+// fromStore is how long the target takes to bring the tokens from the store.
+func (p *prompt) fromStore(t *target, tokens int) time.Duration {
+	store := p.placer.store
+	if !store.usable() {
+		return math.MaxInt64
+	}
+	transfer := store.transfer(p.placer.engines[p.call.Service], tokens, t.DataCentre)
+	return fetchOverhead + store.delay(transfer, p.placer.daemons(), p.now)
+}
+
 // worthSaving says whether the shared parts should go to the store.
-func (p *Placer) worthSaving(call Call, keys []partKey) bool {
-	return p.store.usable() && call.sharedTokens() >= toldTokens && call.cachedTokens(p.store.cached, keys) < call.sharedTokens()
+func (p *Placer) worthSaving(call Call, keys []partKey, now time.Time) bool {
+	shared := call.sharedTokens()
+	return shared >= toldTokens && p.store.usable() && call.cachedTokens(p.store.cached, keys) < shared &&
+		!p.store.onTheirWay(keys, now)
 }
 
 // keys names the shared parts of the prompt under the weights.
