--- a/placer/events.go
+++ b/placer/events.go
@@ -1,5 +1,7 @@
 package placer
 
+import "time"
+
 // CacheChange says how many tokens of a part are held now.
 type CacheChange struct {
 	Key    uint64
@@ -48,6 +50,7 @@
 			continue
 		}
 		cached.use(key, there, bound)
+		cached.expect(key, time.Time{})
 		if known != there {
 			p.tell(holder, key, there)
 		}
--- a/placer/flight.go
+++ b/placer/flight.go
@@ -43,10 +43,12 @@
 	keys := call.keys(best.version)
 	bound := p.cacheBound(t)
 	for i, key := range keys {
-		if t.cached.held(key) == 0 {
+		fresh := t.cached.held(key) == 0
+		t.cached.use(key, call.Parts[i].Tokens, bound)
+		if fresh {
 			placed = append(placed, key)
+			t.cached.expect(key, now.Add(best.expected))
 		}
-		t.cached.use(key, call.Parts[i].Tokens, bound)
 		p.tell(t.hash, key, call.Parts[i].Tokens)
 	}
 	p.placeOwn(t, call, bound)
@@ -132,6 +134,9 @@
 	f.target.own.add(work{unread: f.work.unread}.negative())
 	f.target.breaks = 0
 	f.target.heard()
+	for _, key := range f.placed {
+		f.target.cached.expect(key, time.Time{})
+	}
 	if f.alone {
 		p.measure(f)
 	}
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -41,6 +41,8 @@
 	keys []partKey
 	// most are the targets that hold the most, at most two: one of them may be the target itself.
 	most []holder
+	// known is the most that any target holds or will when it has read what was sent to it.
+	known int
 }
 
 type holder struct {
@@ -70,7 +72,8 @@
 		if t.Versions[p.call.Model] != version || t.brokenUntil.After(p.now) || t.silent(p.now) {
 			continue
 		}
-		if tokens := p.call.cachedTokens(t.cached, found.keys); tokens >= fetchedTokens {
+		found.known = max(found.known, p.call.cachedTokens(t.cached, found.keys))
+		if tokens := p.call.readTokens(t.cached, found.keys, p.now); tokens >= fetchedTokens {
 			found.add(holder{target: t, tokens: tokens})
 		}
 	}
@@ -141,10 +144,20 @@
 // from the end of a part that is there.
 const blockTokens = 16
 
-// cachedTokens counts the tokens of the prompt that are held from its beginning on.
+// cachedTokens counts the tokens of the prompt that are held from its beginning on, or will be when those
+// that wait before the call are served.
 func (c Call) cachedTokens(held *parts, keys []partKey) (tokens int) {
+	return c.leadingTokens(keys, held.held)
+}
+
+// readTokens counts the tokens of the prompt that can be fetched, from its beginning on.
+func (c Call) readTokens(held *parts, keys []partKey, now time.Time) (tokens int) {
+	return c.leadingTokens(keys, func(key partKey) int { return held.read(key, now) })
+}
+
+func (c Call) leadingTokens(keys []partKey, held func(partKey) int) (tokens int) {
 	for i, key := range keys {
-		there := min(held.held(key), c.Parts[i].Tokens)
+		there := min(held(key), c.Parts[i].Tokens)
 		tokens += there
 		if there+blockTokens <= c.Parts[i].Tokens {
 			break
--- a/placer/parts.go
+++ b/placer/parts.go
@@ -1,6 +1,9 @@
 package placer
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // partKey names a part under its model, wall and weights.
 type partKey uint64
@@ -15,6 +18,8 @@
 type heldPart struct {
 	key    partKey
 	tokens int
+	// readBy is when the target is expected to have read it; zero is long ago.
+	readBy time.Time
 }
 
 func newParts() *parts {
@@ -30,6 +35,24 @@
 	return element.Value.(heldPart).tokens
 }
 
+// read counts the tokens of a part that are there to be fetched.
+func (p *parts) read(key partKey, now time.Time) int {
+	element, held := p.entries[key]
+	if !held || element.Value.(heldPart).readBy.After(now) {
+		return 0
+	}
+	return element.Value.(heldPart).tokens
+}
+
+// expect notes when a part that is there will have been read; zero is at once.
+func (p *parts) expect(key partKey, readBy time.Time) {
+	if element, held := p.entries[key]; held {
+		part := element.Value.(heldPart)
+		part.readBy = readBy
+		element.Value = part
+	}
+}
+
 // use adds a part or makes it the most recent one, and lets the oldest go beyond the bound.
 func (p *parts) use(key partKey, tokens, bound int) {
 	p.set(key, tokens)
@@ -40,13 +63,16 @@
 
 // set makes a part the most recent one, with so many of its tokens there. None removes it.
 func (p *parts) set(key partKey, tokens int) {
+	part := heldPart{key: key}
 	if element, held := p.entries[key]; held {
+		part = element.Value.(heldPart)
 		p.remove(element)
 	}
 	if tokens <= 0 {
 		return
 	}
-	p.entries[key] = p.order.PushBack(heldPart{key: key, tokens: tokens})
+	part.tokens = tokens
+	p.entries[key] = p.order.PushBack(part)
 	p.tokens += tokens
 }
 
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -126,7 +126,11 @@
 	}
 	for _, holding := range news.Holdings {
 		if cached, bound := p.cacheOf(holding.Target); cached != nil {
+			fresh := cached.held(partKey(holding.Key)) == 0
 			cached.use(partKey(holding.Key), holding.Tokens, bound)
+			if fresh {
+				cached.expect(partKey(holding.Key), now.Add(p.backlog(holding.Target)))
+			}
 		}
 	}
 	for other, known := range p.peers {
@@ -137,6 +141,15 @@
 	}
 }
 
+// backlog is how long the target is expected to read what was sent to it.
+func (p *Placer) backlog(target TargetHash) time.Duration {
+	t := p.byHash[target]
+	if t == nil {
+		return 0
+	}
+	return p.rates[t.Service].reading(t.load().unread.total())
+}
+
 func same(w work) work { return w }
 
 // count adds the work of a peer, or its negative.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -89,6 +89,7 @@
 func TestBusyHolderIsFetchedFrom(t *testing.T) {
 	f := newFixture(t, 3)
 	holder := f.choose(long("hot"))
+	holder.Flight.Started()
 	holder.Flight.Finished()
 	for range 6 {
 		other := f.choose(long("hot"))
@@ -474,3 +475,40 @@
 		t.Errorf("on a target that has the newest weights by now: %s", upgraded.Sub(f.now))
 	}
 }
+
+// The pattern: a hot prompt is asked for again while its first engine still reads it. A fetch would find nothing
+// there, and the prompt would be read twice.
+func TestPartsAreNotFetchedFromAnEngineThatStillReadsThem(t *testing.T) {
+	f := newFixture(t, 3)
+	other := f.daemon(3)
+	first := f.choose(long("hot"))
+	other.Import("first", f.placer.Export())
+	early := f.choose(long("hot"), first.Target.ID)
+	early.Flight.Finished()
+	theirs, err := other.Choose(long("hot"), []string{first.Target.ID})
+	if err != nil || early.FetchFrom.IsValid() || theirs.FetchFrom.IsValid() {
+		t.Errorf("fetched before it was read: from %s, a peer from %s, %v", early.FetchFrom, theirs.FetchFrom, err)
+	}
+}
+
+func TestSecondRequestWaitsForTheFirstToReadThePrompt(t *testing.T) {
+	f := newFixture(t, 3)
+	first := f.choose(long("hot"))
+	if waits := f.choose(long("hot")); waits.Target.ID != first.Target.ID {
+		t.Errorf("a second request reads the prompt on %s, while %s is reading it", waits.Target.ID, first.Target.ID)
+	}
+}
+
+func TestPartsAreFetchedOnceTheyAreRead(t *testing.T) {
+	f := newFixture(t, 3)
+	other := f.daemon(3)
+	first := f.choose(long("hot"))
+	other.Import("first", f.placer.Export())
+	f.now = f.now.Add(2 * first.Expected)
+	first.Flight.Started()
+	ours := f.choose(long("hot"), first.Target.ID)
+	theirs, err := other.Choose(long("hot"), []string{first.Target.ID})
+	if err != nil || ours.FetchFrom != first.Target.Address || theirs.FetchFrom != first.Target.Address {
+		t.Errorf("fetched from %s, by a peer from %s, want %s, %v", ours.FetchFrom, theirs.FetchFrom, first.Target.Address, err)
+	}
+}
