--- a/upgrader/plan.go
+++ b/upgrader/plan.go
@@ -40,12 +40,7 @@
 // Next chooses the targets to change next: those with the oldest weights first, as many as there is
 // room for beside those that are changing. Half of the engines go on serving.
 func Next(targets []placer.Target, wanted func(model string) int64, passedOver func(id string) bool, progress Progress) (next []Candidate) {
-	engines := 0
 	for _, target := range targets {
-		if len(target.Versions) == 0 {
-			continue
-		}
-		engines++
 		if passedOver(target.ID) {
 			continue
 		}
@@ -58,10 +53,21 @@
 	slices.SortFunc(next, func(a, b Candidate) int {
 		return cmp.Or(cmp.Compare(a.Has, b.Has), cmp.Compare(a.Target.ID, b.Target.ID))
 	})
+	engines := countEngines(targets)
 	room := min(atOnce(engines)-progress.Busy, max(engines/servingShare, 1)-progress.Changing)
 	return next[:max(min(room, len(next)), 0)]
 }
 
+// countEngines counts the targets that have weights.
+func countEngines(targets []placer.Target) (count int) {
+	for _, target := range targets {
+		if len(target.Versions) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // atOnce is how many engines may load at the same time.
 func atOnce(engines int) int { return max(fewestAtOnce, engines/engineShare) }
 
@@ -91,12 +97,7 @@
 
 // beginLoad notes that a target is ordered to change, unless too many are loading.
 func (u *Upgrader) beginLoad(id string) (begun bool) {
-	engines := 0
-	for _, target := range u.settings.Places.Targets() {
-		if len(target.Versions) > 0 {
-			engines++
-		}
-	}
+	room := atOnce(countEngines(u.settings.Places.Targets()))
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	loading := 0
@@ -105,7 +106,7 @@
 			loading++
 		}
 	}
-	if loading >= atOnce(engines) {
+	if loading >= room {
 		return false
 	}
 	u.changing[id] = change{target: u.changing[id].target, ordered: time.Now()}
