--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -165,15 +165,14 @@
 		Listen: settings.PeersListen, Name: settings.Name, Places: d.knowledge, Logger: d.log("broadcaster"),
 	})
 	if err != nil {
-		return nil, err
+		return nil, errs.Combine(err, d.close())
 	}
 	d.follow()
 	if d.edge, err = d.newEdge(); err != nil {
-		d.cancel()
-		return nil, err
+		return nil, errs.Combine(err, d.close())
 	}
 	if err := d.registerGauges(); err != nil {
-		return nil, errs.Combine(err, d.close())
+		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
 	for _, f := range d.knowledge.followers {
 		f.Start(ctx)
@@ -291,7 +290,9 @@
 	group.Add(d.knowledge.targets.Close())
 	group.Add(d.duties.lease.Close())
 	group.Add(d.caches.poller.Close())
-	group.Add(d.peers.Close())
+	if d.peers != nil {
+		group.Add(d.peers.Close())
+	}
 	group.Add(d.targets.Close())
 	group.Add(d.store.Close())
 	d.logger.Info("daemon stopped", "error", group.Err())
@@ -303,7 +304,8 @@
 func (d *Daemon) newRelayer(k *knowledge) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
 		Knowledge: k, Places: k.places, Targets: d.targets, Codec: platform.Codec{}, Strikes: k.strikes,
-		Budget: newBudgets(d.hosted.Load, k.places.Peers), Logger: d.log("relayer"), Bounds: d.bounds, Observe: d.count,
+		Budget: newBudgets(d.hosted.Load, k.places.Peers), Logger: d.log("relayer"),
+		Tracer: d.observer.Tracer(), Bounds: d.bounds, Observe: d.count,
 	})
 }
 
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/assembler"
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
 	"github.com/rosemaryrill/rosemaryrill/loader"
 )
@@ -57,6 +60,29 @@
 	}
 }
 
+// A daemon that cannot have one of its ports leaves the others free, and says which one it was.
+func TestFailedStartLeavesNoPortOpen(t *testing.T) {
+	f := newFleet(t, 0)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	settings := f.settings(9)
+	settings.Hosted.MetricsListen = netip.MustParseAddrPort(taken.Addr().String())
+	if _, err := assembler.New(t.Context(), assembler.Settings{Settings: settings, LogOutput: io.Discard}); err == nil || !strings.Contains(err.Error(), taken.Addr().String()) {
+		t.Errorf("a taken port: %v", err)
+	}
+	settings.Hosted.MetricsListen = freePort(t)
+	d, err := assembler.New(t.Context(), assembler.Settings{Settings: settings, LogOutput: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestStreamThatBreaksGoesOnElsewhere(t *testing.T) {
 	f := newFleet(t, 1)
 	for _, engine := range f.engines[:2] {
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -12,6 +12,8 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
@@ -136,7 +138,8 @@
 		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true})
 		return
 	}
-	e.relayer.Relay(r.Context(), w, call)
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	e.relayer.Relay(ctx, w, call)
 }
 
 // headerTooLarge holds the request line and the header against the configuration's limit.
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -131,8 +131,8 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-func (f *fleet) start(i int) *daemon {
-	f.t.Helper()
+// settings are those of one daemon on free ports.
+func (f *fleet) settings(i int) loader.Settings {
 	settings := loader.DefaultSettings()
 	settings.Name, settings.DataCentre = fmt.Sprintf("daemon-%d", i), "north"
 	settings.CallersListen, settings.PeersListen = freePort(f.t), freePort(f.t)
@@ -140,6 +140,12 @@
 	settings.Platform = []netip.AddrPort{f.store.Address()}
 	settings.Log.Format = loader.LogJSON
 	settings.Hosted.ReadyListen, settings.Hosted.MetricsListen = freePort(f.t), freePort(f.t)
+	return settings
+}
+
+func (f *fleet) start(i int) *daemon {
+	f.t.Helper()
+	settings := f.settings(i)
 	d := &daemon{callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}}
 	var err error
 	d.Daemon, err = assembler.New(context.WithoutCancel(f.t.Context()), assembler.Settings{Settings: settings, LogOutput: d.log})
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -50,8 +50,6 @@
 	Timeout time.Duration
 	// Objective is the time within which an answer is on time: its first event for a stream.
 	Objective time.Duration
-	// LongestGap is the longest pause between events of a stream that is on time.
-	LongestGap time.Duration
 	// MaxAttempts bounds the targets at which one request may run.
 	MaxAttempts int
 	// Priority ranks routes; zero is the most urgent.
@@ -92,15 +90,12 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the number of requests that an engine batches.
-	Slots int
 	// CacheTokens is the memory of an engine for running requests and cached parts.
 	CacheTokens int
 	// TokenBytes is the size of a cached token on the wire.
 	TokenBytes int
 	// LinkBitsPerSecond is the rate at which an engine sends cached parts.
 	LinkBitsPerSecond float64
-	Models            []string
 }
 
 // CacheStore is a service that keeps cached parts for engines.
@@ -114,8 +109,6 @@
 // Service is a group of equal targets.
 type Service struct {
 	Name string
-	// MaxConnections is what one target accepts from all callers together.
-	MaxConnections int
 	// Engine is set for services of model engines.
 	Engine *Engine
 	// Cache is set for a store of cached parts, to which no request is routed.
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -139,8 +139,6 @@
 			func(s *Settings) *time.Duration { return &s.Hosted.StopBound }),
 		durationField("key_revocation", "Time after which a key that was taken away works nowhere.",
 			func(s *Settings) *time.Duration { return &s.Hosted.KeyRevocation }),
-		durationField("configuration_spread", "Time after which an accepted configuration is in force everywhere.",
-			func(s *Settings) *time.Duration { return &s.Hosted.ConfigurationSpread }),
 		durationField("weights_spread", "Time after which no request begins on replaced weights.",
 			func(s *Settings) *time.Duration { return &s.Hosted.WeightsSpread }),
 		durationField("lease_time", "Time between the orders of two holders of a duty.",
@@ -151,10 +149,8 @@
 			read:    func(node locator.Node, s *Settings) { s.Hosted.RetryRatio, _ = node.Float(0, 1) },
 			show:    func(s *Settings) string { return fmt.Sprint(s.Hosted.RetryRatio) },
 		},
-		numberField("retry_burst", "Repetitions of all daemons beside that share, within retry_window.",
+		numberField("retry_burst", "Repetitions of all daemons beside that share, however long the time.",
 			func(s *Settings) *int { return &s.Hosted.RetryBurst }),
-		durationField("retry_window", "Time over which repetitions are counted.",
-			func(s *Settings) *time.Duration { return &s.Hosted.RetryWindow }),
 	}
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -106,17 +106,14 @@
 	StopBound time.Duration
 	// KeyRevocation is the time after which a key that was taken away must not work anywhere.
 	KeyRevocation time.Duration
-	// ConfigurationSpread is the time after which an accepted configuration is in force.
-	ConfigurationSpread time.Duration
 	// WeightsSpread is the time after which no request may begin on replaced weights.
 	WeightsSpread time.Duration
 	// LeaseTime is the time between the orders of two holders of a duty.
 	LeaseTime time.Duration
 	// RetryRatio and RetryBurst bound repetitions of all daemons together: a share of the requests
-	// and a number beside it, within RetryWindow.
-	RetryRatio  float64
-	RetryBurst  int
-	RetryWindow time.Duration
+	// and a number beside it, however long the time.
+	RetryRatio float64
+	RetryBurst int
 }
 
 // LogFormat is the form of log lines.
@@ -162,17 +159,15 @@
 			DefaultDeadline: 2 * time.Minute,
 		},
 		Hosted: Hosted{
-			ReadyListen:         netip.MustParseAddrPort("0.0.0.0:8083"),
-			MetricsListen:       netip.MustParseAddrPort("127.0.0.1:8084"),
-			MemoryBytes:         256 << 20,
-			StopBound:           8 * time.Second,
-			KeyRevocation:       5 * time.Second,
-			ConfigurationSpread: 2 * time.Second,
-			WeightsSpread:       10 * time.Second,
-			LeaseTime:           3 * time.Second,
-			RetryRatio:          0.2,
-			RetryBurst:          50,
-			RetryWindow:         10 * time.Second,
+			ReadyListen:   netip.MustParseAddrPort("0.0.0.0:8083"),
+			MetricsListen: netip.MustParseAddrPort("127.0.0.1:8084"),
+			MemoryBytes:   256 << 20,
+			StopBound:     8 * time.Second,
+			KeyRevocation: 5 * time.Second,
+			WeightsSpread: 10 * time.Second,
+			LeaseTime:     3 * time.Second,
+			RetryRatio:    0.2,
+			RetryBurst:    50,
 		},
 		LeaveNotice: 5 * time.Second,
 		DrainBound:  5 * time.Minute,
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
@@ -44,6 +46,7 @@
 	flights []*placer.Flight
 	places  *placer.Placer
 	prompt  relayer.Prompt
+	tracer  trace.Tracer
 }
 
 // answer is what a target does with a request.
@@ -213,7 +216,7 @@
 // relay sends one request through a relayer.
 func (w *world) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Knowledge: w, Places: w, Targets: w, Codec: w, Budget: w, Strikes: w,
+		Knowledge: w, Places: w, Targets: w, Codec: w, Budget: w, Strikes: w, Tracer: w.tracer,
 		Bounds: func() relayer.Bounds { return relayer.Bounds{Key: 4 * time.Second, Denial: 2 * time.Second} },
 	})
 	recorder := httptest.NewRecorder()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,9 @@
 	"net/netip"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
@@ -128,7 +131,7 @@
 	Strike(fingerprint, incarnation uint64)
 }
 
-// Settings are the parameters of a Relayer. All but Logger and Strikes are needed.
+// Settings are the parameters of a Relayer. All but Logger, Tracer and Strikes are needed.
 type Settings struct {
 	Knowledge Knowledge
 	Places    Places
@@ -137,6 +140,8 @@
 	Budget    Budget
 	Strikes   Strikes
 	Logger    *slog.Logger
+	// Tracer makes a span for each request and each of its attempts.
+	Tracer trace.Tracer
 	// Bounds are asked for with each request, since settings may change.
 	Bounds func() Bounds
 	// Observe takes the outcome of each request.
@@ -175,6 +180,9 @@
 	if settings.Logger == nil {
 		settings.Logger = slog.New(slog.DiscardHandler)
 	}
+	if settings.Tracer == nil {
+		settings.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if settings.Observe == nil {
 		settings.Observe = func(Outcome) {}
 	}
@@ -185,8 +193,10 @@
 // cannot be ended truthfully, so that the caller sees a broken answer.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, call *Call) {
 	u := &run{relayer: r, call: call, writer: w, ctx: ctx}
+	endSpan := u.traceRequest()
 	u.relay()
 	u.report()
+	endSpan()
 	if u.abort {
 		panic(http.ErrAbortHandler)
 	}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -81,6 +81,11 @@
 	abandoned
 )
 
+// String names the verdict in traces.
+func (v verdict) String() string {
+	return [...]string{"answered", "unsent", "disowned", "broken", "failed_there", "taken_back", "abandoned"}[v]
+}
+
 func (u *run) relay() {
 	if refusal := u.admit(); refusal != nil {
 		u.end(refusal)
@@ -95,7 +100,9 @@
 			u.end(refusal)
 			return
 		}
+		endSpan := u.traceAttempt(ctx, choice)
 		ended, attempted := u.attempt(ctx, choice)
+		endSpan(ended)
 		if ended == answered {
 			return
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -66,58 +66,84 @@
 // Daemon is a running daemon.
 type Daemon struct {
 	settings Settings
+	observer *observer.Observer
+	store    *storer.Client
 
-	observer      *observer.Observer
-	callersTLS    port
-	peersTLS      port
-	store         *storer.Client
-	peers         *exchanger.Client
-	gossip        *gossiper.Gossiper
-	spread        *spread
-	configuration *configurator.Configurator
-	targets       *forwarder.Client
-	detector      *detector.Detector
-	liveness      liveness
-	pools         *pooler.Pooler
-	poller        *poller.Poller[forwarder.CacheEvents]
-	models        *limiter.Limiter
-	services      *limiter.Limiter
-	selectors     *limiter.Limiter
-	streams       *streamer.Streamer
-	transfers     *forwarder.Client
-	mover         *mover.Mover
-	ledger        *dispatcher.Dispatcher
-	callersServer *server.Server
-	peersServer   *http.Server
-
-	quarantine      *quarantiner.Quarantiner
-	commander       *commander.Commander
-	reports         *engineReports
-	holder          *reporter.Holder
-	recorder        *reporter.Recorder
-	outages         *outages
-	serviceTargets  *invoker.Targets
+	doors
+	membership
+	knowledge
+	serving
+	orders
+
+	stop    chan struct{}
+	group   conc.WaitGroup
+	closing sync.Once
+	closed  error
+}
+
+// doors are the ports of the daemon and what answers there.
+type doors struct {
+	callers         net.Listener
+	inside          net.Listener
+	operators       net.Listener
+	callersTLS      port
+	peersTLS        port
+	callersServer   *server.Server
+	peersServer     *http.Server
 	operatorsServer *http.Server
-	observations    *observationShare
-	warm            *warmth
-	assignment      *assignment
-	manyTargets     atomic.Bool
+}
+
+// membership is how the daemon talks with the others and knows that they live.
+type membership struct {
+	peers    *exchanger.Client
+	gossip   *gossiper.Gossiper
+	spread   *spread
+	detector *detector.Detector
+	liveness liveness
+	// assignment and observations share out the questions to targets among the daemons.
+	assignment   *assignment
+	observations *observationShare
+}
+
+// knowledge is what the daemon believes of its deployment.
+type knowledge struct {
+	configuration *configurator.Configurator
 	// applied is the revision that the parts of the daemon have taken over.
-	applied atomic.Uint64
-
-	callers   net.Listener
-	inside    net.Listener
-	operators net.Listener
-	stop      chan struct{}
-	group     conc.WaitGroup
-	closing   sync.Once
-	closed    error
+	applied     atomic.Uint64
+	pools       *pooler.Pooler
+	poller      *poller.Poller[forwarder.CacheEvents]
+	quarantine  *quarantiner.Quarantiner
+	reports     *engineReports
+	holder      *reporter.Holder
+	recorder    *reporter.Recorder
+	outages     *outages
+	warm        *warmth
+	manyTargets atomic.Bool
+}
+
+// serving is what calls go through.
+type serving struct {
+	targets        *forwarder.Client
+	serviceTargets *invoker.Targets
+	models         *limiter.Limiter
+	services       *limiter.Limiter
+	selectors      *limiter.Limiter
+	streams        *streamer.Streamer
+	ledger         *dispatcher.Dispatcher
+}
+
+// orders are what the daemon asks of engines beside calls.
+type orders struct {
+	commander *commander.Commander
+	transfers *forwarder.Client
+	mover     *mover.Mover
 }
 
 // New starts a daemon. It takes no traffic until /readyz says so.
 func New(ctx context.Context, settings Settings) (daemon *Daemon, err error) {
 	defer Error.WrapP(&err)
-	d := &Daemon{settings: settings, stop: make(chan struct{}), warm: newWarmth()}
+	d := &Daemon{settings: settings, stop: make(chan struct{})}
+	d.warm = newWarmth()
 	d.observations = &observationShare{daemon: d}
 	d.assignment = newAssignment(func(target string) bool {
 		return d.gossip.AmongFirst("poll "+target, pollingDaemons)
