--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -60,6 +60,9 @@
 	memoryShare = 0.6
 	// collectorPercent trades processor time for memory.
 	collectorPercent = 50
+	// presenceTTL is how long the entry of a daemon stays that is not heard of. Nothing waits for its end:
+	// datagrams to a daemon that has ended are lost, and its work is left to the others by their absence.
+	presenceTTL = 12 * time.Second
 	// daemonsPrefix holds all keys of the daemons.
 	daemonsPrefix = "rill/"
 	// hostsPrefix is where daemons say that they run.
@@ -112,6 +115,8 @@
 
 // duties is what one daemon does for all.
 type duties struct {
+	// presence keeps the entry of this daemon, and lease is that of the duty.
+	presence *leaser.Leaser
 	lease    *leaser.Leaser
 	upgrader *upgrader.Upgrader
 }
@@ -177,6 +182,7 @@
 	for _, f := range d.knowledge.followers {
 		f.Start(ctx)
 	}
+	d.duties.presence.Start(ctx)
 	d.duties.lease.Start(ctx)
 	d.duties.upgrader.Start(ctx)
 	d.logger.Info("daemon started", "name", settings.Name, "data_centre", settings.DataCentre, "callers", settings.CallersListen)
@@ -219,11 +225,15 @@
 
 func (d *Daemon) newDuties() duties {
 	ttl := d.settings.Hosted.LeaseTime * 2 / 3
+	presence := leaser.New(leaser.Settings{
+		Store: d.store, TTL: presenceTTL, Logger: d.log("leaser"),
+		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
+	})
 	lease := leaser.New(leaser.Settings{
 		Store: d.store, TTL: ttl, Interval: func() time.Duration { return d.renewal(ttl) }, Logger: d.log("leaser"),
-		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
+		OnDemand: true, Acquired: func() { d.duties.upgrader.Wake() },
 	})
-	return duties{lease: lease, upgrader: upgrader.New(upgrader.Settings{
+	return duties{presence: presence, lease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.Engines{Connector: d.targets},
 		Places: d.knowledge.places, Logger: d.log("upgrader"), TakeOver: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
 	})}
@@ -289,6 +299,7 @@
 	}
 	group.Add(d.knowledge.targets.Close())
 	group.Add(d.duties.lease.Close())
+	group.Add(d.duties.presence.Close())
 	group.Add(d.caches.poller.Close())
 	if d.peers != nil {
 		group.Add(d.peers.Close())
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,6 +116,9 @@
 		near = c.peers
 	}
 	for _, peer := range near {
+		if !d.knowledge.places.Hears(strings.TrimPrefix(peer.Key, hostsPrefix)) {
+			continue // It may have ended: its entry stays for some time.
+		}
 		if score(peer, name) > score(own, name) {
 			return false
 		}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -1,5 +1,5 @@
-// Package leaser keeps a lease on the platform's store for as long as the daemon runs, with an
-// entry that says where the daemon is.
+// Package leaser keeps a lease on the platform's store: for as long as the daemon runs, with an entry
+// that says where the daemon is, or for as long as it is wanted.
 //
 // The time for which the lease holds is counted from before the call that renewed it, by a clock
 // that goes on while the host is suspended, so that the daemon never takes it for longer than the
@@ -53,10 +53,14 @@
 type Settings struct {
 	Store Store
 	TTL   time.Duration
-	// Key and Value are written under the lease.
+	// Key and Value are written under the lease. Without a Key nothing is.
 	Key    string
 	Value  []byte
 	Logger *slog.Logger
+	// OnDemand says that the lease is kept only while it is wanted.
+	OnDemand bool
+	// Acquired is called after each new lease.
+	Acquired func()
 	// Interval is the time between two renewals. Default: a third of TTL.
 	Interval func() time.Duration
 	// Now is the clock of the lease. Default: clocker.Now.
@@ -69,9 +73,13 @@
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
 
-	mu    sync.Mutex
-	lease storer.LeaseID
-	until clocker.Instant
+	// wake ends the wait of a Leaser whose lease is not wanted.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	wanted bool
+	lease  storer.LeaseID
+	until  clocker.Instant
 	// renewed is when the last call was sent that the store has answered.
 	renewed clocker.Instant
 }
@@ -84,7 +92,10 @@
 	if settings.Interval == nil {
 		settings.Interval = func() time.Duration { return settings.TTL / renewalsPerTTL }
 	}
-	return &Leaser{settings: settings, cancel: func() {}}
+	if settings.Acquired == nil {
+		settings.Acquired = func() {}
+	}
+	return &Leaser{settings: settings, cancel: func() {}, wake: make(chan struct{}, 1), wanted: !settings.OnDemand}
 }
 
 // Start acquires and renews until Close or the end of ctx.
@@ -113,6 +124,25 @@
 	return l.lease, l.lease != storer.NoLease && l.settings.Now().Before(l.until)
 }
 
+// Want says whether the lease is wanted from now on. A lease that is not is ended at its next renewal.
+func (l *Leaser) Want(wanted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted = wanted
+	if wanted {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *Leaser) isWanted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wanted
+}
+
 // Age is the time since the last renewal that the store has answered was sent.
 func (l *Leaser) Age() time.Duration {
 	l.mu.Lock()
@@ -122,6 +152,13 @@
 
 func (l *Leaser) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !l.isWanted() {
+			select {
+			case <-l.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		if err := l.acquire(ctx); err != nil {
 			l.settings.Logger.Warn("no lease", "error", err)
 			waiter.Pause(ctx, retryPause/2+rand.N(retryPause))
@@ -138,23 +175,42 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.settings.Store.Commit(ctx, storer.Transaction{
-		Puts: []storer.Put{{Key: l.settings.Key, Value: l.settings.Value, Lease: granted.ID}},
-	})
-	if err != nil {
+	if err := l.writeEntry(ctx, granted.ID); err != nil {
 		return err
 	}
 	l.hold(granted.ID, sent, granted.TTL)
-	l.settings.Logger.Info("lease acquired", "lease", granted.ID, "ttl", granted.TTL)
+	l.settings.Logger.Info("lease acquired", "lease", granted.ID, "ttl", granted.TTL, "key", l.settings.Key)
+	l.settings.Acquired()
 	return nil
 }
 
+func (l *Leaser) writeEntry(ctx context.Context, lease storer.LeaseID) error {
+	if l.settings.Key == "" {
+		return nil
+	}
+	_, err := l.settings.Store.Commit(ctx, storer.Transaction{
+		Puts: []storer.Put{{Key: l.settings.Key, Value: l.settings.Value, Lease: lease}},
+	})
+	return err
+}
+
+// release ends a lease that is not wanted any more.
+func (l *Leaser) release(ctx context.Context, lease storer.LeaseID) {
+	err := l.settings.Store.Revoke(ctx, lease)
+	l.settings.Logger.Info("lease given back", "lease", lease, "error", err)
+	l.hold(storer.NoLease, l.settings.Now(), 0)
+}
+
 // keep renews until the lease has ended.
 func (l *Leaser) keep(ctx context.Context) {
 	wait := l.settings.Interval()
 	for waiter.Pause(ctx, wait) {
 		sent := l.settings.Now()
 		lease, _ := l.Held()
+		if !l.isWanted() {
+			l.release(ctx, lease)
+			return
+		}
 		ttl, err := l.settings.Store.Renew(ctx, lease)
 		var ended *storer.NotFoundError
 		if errors.As(err, &ended) {
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -148,3 +148,37 @@
 		}
 	})
 }
+
+// A lease on demand costs nothing until it is wanted, is there soon then, and is ended when it is not wanted any more.
+func TestLeaseOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{until: make(map[storer.LeaseID]time.Time)}
+		acquired := 0
+		l := leaser.New(leaser.Settings{
+			Store: s, TTL: ttl, Logger: slog.New(slog.DiscardHandler), OnDemand: true, Acquired: func() { acquired++ },
+			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
+		})
+		l.Start(t.Context())
+		defer func() { _ = l.Close() }()
+		time.Sleep(time.Minute)
+		if _, held := l.Held(); held || s.granted > 0 {
+			t.Errorf("not wanted: held %v, %d granted", held, s.granted)
+		}
+		l.Want(true)
+		time.Sleep(time.Millisecond)
+		if _, held := l.Held(); !held || acquired != 1 || s.puts > 0 {
+			t.Errorf("wanted: held %v, acquired %d, %d entries", held, acquired, s.puts)
+		}
+		time.Sleep(time.Minute)
+		l.Want(false)
+		time.Sleep(ttl)
+		if _, held := l.Held(); held || s.revoked != 1 || s.granted != 1 {
+			t.Errorf("not wanted any more: held %v, %d revoked, %d granted", held, s.revoked, s.granted)
+		}
+		l.Want(true)
+		time.Sleep(time.Millisecond)
+		if _, held := l.Held(); !held {
+			t.Error("wanted again, and not held")
+		}
+	})
+}
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -174,6 +174,14 @@
 	return len(p.peers)
 }
 
+// Hears says whether the daemon of the name was heard of lately.
+func (p *Placer) Hears(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, heard := p.peers[name]
+	return heard && p.settings.Now().Sub(known.at) <= peerBound
+}
+
 // cacheOf returns what a target or the store holds, and how much it can.
 func (p *Placer) cacheOf(holder TargetHash) (cached *parts, bound int) {
 	if holder == storeHash {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -512,3 +512,15 @@
 		t.Errorf("fetched from %s, by a peer from %s, want %s, %v", ours.FetchFrom, theirs.FetchFrom, first.Target.Address, err)
 	}
 }
+
+func TestPeersAreHeardForAShortTime(t *testing.T) {
+	f := newFixture(t, 1)
+	f.placer.Import("other", placer.News{})
+	if !f.placer.Hears("other") || f.placer.Hears("nobody") {
+		t.Error("a peer is not heard at once, or one that never spoke is")
+	}
+	f.now = f.now.Add(5 * time.Second)
+	if f.placer.Hears("other") {
+		t.Error("a peer is heard that has been silent for 5 s")
+	}
+}
--- a/upgrader/duty.go
+++ b/upgrader/duty.go
@@ -34,6 +34,14 @@
 	return held && lease == u.lease && u.fence != 0 && !u.settings.Now().Before(u.began)
 }
 
+// heldElsewhere says whether another daemon has the duty, so that this one needs no lease.
+func (u *Upgrader) heldElsewhere() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	holder, taken := u.seen[holderKey]
+	return u.fence == 0 && taken && string(holder.Value) != u.settings.Name
+}
+
 const (
 	// vacantPause delays every attempt to take the duty, agePause those of daemons that have run
 	// for settledAfter, and spreadPause is drawn at random, so that mostly one tries.
@@ -70,9 +78,10 @@
 
 // take tries to become the holder.
 func (u *Upgrader) take(ctx context.Context) {
+	u.settings.Lease.Want(true)
 	lease, held := u.settings.Lease.Held()
 	if !held {
-		return
+		return // A step follows as soon as it is.
 	}
 	u.mu.Lock()
 	former, known := u.seen[formerKey]
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -87,6 +87,9 @@
 	Held() (lease storer.LeaseID, held bool)
 	// Age is the time since the last renewal that the store has answered was sent.
 	Age() time.Duration
+	// Want says whether the lease is needed from now on: by the holder of the duty, and by a daemon
+	// that tries to take it.
+	Want(wanted bool)
 }
 
 // Places knows the targets and what is wanted of them.
@@ -285,6 +288,9 @@
 	if u.vacant() {
 		u.take(ctx)
 	}
+	if u.heldElsewhere() {
+		u.settings.Lease.Want(false)
+	}
 	if !u.holding() {
 		return
 	}
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -67,10 +67,12 @@
 
 // daemon is the part of one daemon: its lease and its view of the engines.
 type daemon struct {
-	fleet    *fleet
-	name     string
-	lease    storer.LeaseID
-	held     bool
+	fleet *fleet
+	name  string
+	lease storer.LeaseID
+	held  bool
+	// wanted says that the daemon wants its lease.
+	wanted   bool
 	upgrader *upgrader.Upgrader
 	updating map[string]bool
 	// stale is since when the lease is not renewed; zero where it is.
@@ -295,6 +297,12 @@
 	return targets
 }
 
+func (d *daemon) Want(wanted bool) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	d.wanted = wanted
+}
+
 func (d *daemon) Wanted(string) int64 {
 	d.fleet.mu.Lock()
 	defer d.fleet.mu.Unlock()
@@ -582,3 +590,18 @@
 		t.Errorf("next are %+v", next)
 	}
 }
+
+// The holder alone keeps its lease: that of every other daemon would cost the store renewals for nothing.
+func TestLeaseIsWantedByTheHolderAlone(t *testing.T) {
+	inVirtualTime(t, 4, func(f *fleet) {
+		time.Sleep(2 * time.Second)
+		holder := f.holder()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for name, d := range f.daemons {
+			if d.wanted != (name == holder) {
+				t.Errorf("daemon %s wants its lease: %v, the holder is %s", name, d.wanted, holder)
+			}
+		}
+	}, "a", "b", "c")
+}
