--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryrill/rosemaryrill/assembler"
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
 	"github.com/rosemaryrill/rosemaryrill/loader"
+	"github.com/rosemaryrill/rosemaryrill/platform"
 )
 
 func TestAllKindsOfRequestsAreServed(t *testing.T) {
@@ -239,10 +240,22 @@
 	}
 }
 
+// A daemon that takes callers knows the targets, however late the store tells them.
+func TestReadyDaemonKnowsTheTargets(t *testing.T) {
+	f := newFleet(t, 0)
+	f.store.SetFaults(hostingemulator.StoreFaults{Delay: 500 * time.Millisecond, Delayed: platform.TargetsPrefix})
+	d := f.start(0)
+	if r := f.call(d, http.MethodGet, "/look/a", "early", ""); r.status != http.StatusOK {
+		t.Errorf("a daemon that says it is ready: %+v", r)
+	}
+}
+
 func TestMetricsAndLogsTellARequest(t *testing.T) {
 	f := newFleet(t, 1)
 	d := f.daemons[0]
-	f.call(d, http.MethodGet, "/look/a", "told", "")
+	if r := f.call(d, http.MethodGet, "/look/a", "told", ""); r.status != http.StatusOK {
+		t.Errorf("look-up: %+v", r)
+	}
 	f.call(d, http.MethodGet, "/none/a", "denied", "")
 	response, err := f.client.Get("http://" + d.metrics.String() + "/metrics")
 	if err != nil {
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -100,11 +100,11 @@
 	return nil
 }
 
-// answerReady says whether the daemon wants new connections: it has a configuration, contact that
-// lets it take keys, and does not stop.
+// answerReady says whether the daemon wants new connections: it has a configuration, knows the targets, has
+// contact that lets it take keys, and does not stop.
 func (e *edge) answerReady(w http.ResponseWriter) {
 	k := e.daemon.knowledge
-	if e.daemon.stopping.Load() || k.Catalog() == nil || k.ContactAge() > e.daemon.bounds().Key {
+	if e.daemon.stopping.Load() || !k.Complete() || k.ContactAge() > e.daemon.bounds().Key {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,14 +123,31 @@
 	})
 }
 
+// lastPort is the last port that freePort gave. They lie below those that the system gives to outgoing
+// connections, one of which could take a port before its daemon does.
+var lastPort atomic.Uint32
+
+const (
+	firstPort = 15_000
+	portCount = 15_000
+)
+
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (uint32(os.Getpid())*101+lastPort.Add(1))%portCount
+		address := netip.AddrPortFrom(netip.MustParseAddrPort(loopback).Addr(), uint16(port))
+		l, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue // Another program has it.
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 // settings are those of one daemon on free ports.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -106,6 +106,9 @@
 	return f.settings.Now().Sub(contact)
 }
 
+// Listed says whether the copy was ever whole.
+func (f *Follower) Listed() bool { return f.contact.Load() != 0 }
+
 // neverAge stands for no contact at all.
 const neverAge = time.Hour
 
--- a/hostingemulator/store.go
+++ b/hostingemulator/store.go
@@ -39,8 +39,9 @@
 	Down bool
 	// LoseWrites carries out that many writes and breaks their connections.
 	LoseWrites int
-	// Delay slows every call down.
-	Delay time.Duration
+	// Delay slows every call down, or where Delayed is set those that read its keys.
+	Delay   time.Duration
+	Delayed string
 }
 
 type item struct {
@@ -189,7 +190,9 @@
 		faults := s.faults
 		s.lapse()
 		s.mu.Unlock()
-		time.Sleep(faults.Delay)
+		if strings.HasPrefix(r.URL.Query().Get("prefix"), faults.Delayed) {
+			time.Sleep(faults.Delay)
+		}
 		if faults.Down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
