--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,15 @@
 	change()
 }
 
+// counts are how often the store was called.
+type counts struct{ granted, revoked, puts int }
+
+func (s *store) count() counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return counts{granted: s.granted, revoked: s.revoked, puts: s.puts}
+}
+
 // holds says whether the store takes the lease for valid.
 func (s *store) holds(lease storer.LeaseID) bool {
 	s.mu.Lock()
@@ -153,27 +163,28 @@
 func TestLeaseOnDemand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{until: make(map[storer.LeaseID]time.Time)}
-		acquired := 0
+		var acquired atomic.Int32
 		l := leaser.New(leaser.Settings{
-			Store: s, TTL: ttl, Logger: slog.New(slog.DiscardHandler), OnDemand: true, Acquired: func() { acquired++ },
+			Store: s, TTL: ttl, Logger: slog.New(slog.DiscardHandler), OnDemand: true, Acquired: func() { acquired.Add(1) },
 			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
 		})
 		l.Start(t.Context())
 		defer func() { _ = l.Close() }()
 		time.Sleep(time.Minute)
-		if _, held := l.Held(); held || s.granted > 0 {
-			t.Errorf("not wanted: held %v, %d granted", held, s.granted)
+		if _, held := l.Held(); held || s.count().granted > 0 {
+			t.Errorf("not wanted: held %v, %d granted", held, s.count().granted)
 		}
 		l.Want(true)
 		time.Sleep(time.Millisecond)
-		if _, held := l.Held(); !held || acquired != 1 || s.puts > 0 {
-			t.Errorf("wanted: held %v, acquired %d, %d entries", held, acquired, s.puts)
+		if _, held := l.Held(); !held || acquired.Load() != 1 || s.count().puts > 0 {
+			t.Errorf("wanted: held %v, acquired %d, %d entries", held, acquired.Load(), s.count().puts)
 		}
 		time.Sleep(time.Minute)
 		l.Want(false)
 		time.Sleep(ttl)
-		if _, held := l.Held(); held || s.revoked != 1 || s.granted != 1 {
-			t.Errorf("not wanted any more: held %v, %d revoked, %d granted", held, s.revoked, s.granted)
+		counted := s.count()
+		if _, held := l.Held(); held || counted.revoked != 1 || counted.granted != 1 {
+			t.Errorf("not wanted any more: held %v, %d revoked, %d granted", held, counted.revoked, counted.granted)
 		}
 		l.Want(true)
 		time.Sleep(time.Millisecond)
