--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -196,9 +196,9 @@
 
 // release ends a lease that is not wanted any more.
 func (l *Leaser) release(ctx context.Context, lease storer.LeaseID) {
+	l.hold(storer.NoLease, l.settings.Now(), 0) // Before the call: the store may end it at once.
 	err := l.settings.Store.Revoke(ctx, lease)
 	l.settings.Logger.Info("lease given back", "lease", lease, "error", err)
-	l.hold(storer.NoLease, l.settings.Now(), 0)
 }
 
 // keep renews until the lease has ended.
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -193,3 +193,29 @@
 		}
 	})
 }
+
+// A lease that is being given back may end at the store at any moment, so nothing may be bound to it any more.
+func TestLeaseThatIsGivenBackIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{until: make(map[storer.LeaseID]time.Time)}
+		l := leaser.New(leaser.Settings{
+			Store: s, TTL: ttl, Logger: slog.New(slog.DiscardHandler), OnDemand: true,
+			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
+		})
+		l.Start(t.Context())
+		defer func() { _ = l.Close() }()
+		l.Want(true)
+		time.Sleep(time.Millisecond)
+		s.set(func() { s.delay = time.Second })
+		l.Want(false)
+		for range 40 {
+			time.Sleep(50 * time.Millisecond)
+			if _, held := l.Held(); held && s.count().revoked > 0 {
+				t.Fatal("a lease is held that the store was asked to end")
+			}
+		}
+		if s.count().revoked != 1 {
+			t.Errorf("the lease was ended %d times", s.count().revoked)
+		}
+	})
+}
