--- a/placer/flight.go
+++ b/placer/flight.go
@@ -43,11 +43,8 @@
 	keys := call.keys(best.version)
 	bound := p.cacheBound(t)
 	for i, key := range keys {
-		fresh := t.cached.held(key) == 0
-		t.cached.use(key, call.Parts[i].Tokens, bound)
-		if fresh {
+		if t.cached.promise(key, call.Parts[i].Tokens, bound, now.Add(best.expected)) {
 			placed = append(placed, key)
-			t.cached.expect(key, now.Add(best.expected))
 		}
 		p.tell(t.hash, key, call.Parts[i].Tokens)
 	}
--- a/placer/parts.go
+++ b/placer/parts.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// promise adds a part that will have been read by then, unless it is there already, and says whether it
+// was not. It becomes the most recent one in either case.
+func (p *parts) promise(key partKey, tokens, bound int, readBy time.Time) (added bool) {
+	added = p.held(key) == 0
+	p.use(key, tokens, bound)
+	if added {
+		p.expect(key, readBy)
+	}
+	return added
+}
+
 // use adds a part or makes it the most recent one, and lets the oldest go beyond the bound.
 func (p *parts) use(key partKey, tokens, bound int) {
 	p.set(key, tokens)
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -126,11 +126,7 @@
 	}
 	for _, holding := range news.Holdings {
 		if cached, bound := p.cacheOf(holding.Target); cached != nil {
-			fresh := cached.held(partKey(holding.Key)) == 0
-			cached.use(partKey(holding.Key), holding.Tokens, bound)
-			if fresh {
-				cached.expect(partKey(holding.Key), now.Add(p.backlog(holding.Target)))
-			}
+			cached.promise(partKey(holding.Key), holding.Tokens, bound, now.Add(p.backlog(holding.Target)))
 		}
 	}
 	for other, known := range p.peers {
