--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -96,7 +96,7 @@
 // ContactAge is the time since the configuration was known to be the newest.
 func (k *knowledge) ContactAge() time.Duration { return k.contact.ContactAge() }
 
-// Complete says whether the configuration and the targets were read at least once.
+// Complete says whether the configuration, the targets and the daemons were read at least once.
 func (k *knowledge) Complete() bool {
 	for _, f := range k.followers {
 		if !f.Listed() {
