broadcaster: aggregators, so that datagrams do not grow with the fleet

Cause: each daemon sent its state to every other. With 195 hosts it did so every 1.9 s, in 19,500 datagrams a second, most of them between data centres; and since a peer counted as silent after 1.5 s, the number of peers was too small, each daemon's part of the retry burst too large, and several daemons polled one engine's cache events. Change: beyond 16 peers the daemons of a data centre send to the first of them that is alive, by rank of its name. It adds the work up, exchanges sums with the aggregators of the other data centres and sends the sum of all to its own. Peers are counted as registered, liveness within the data centre comes from the aggregator's list of members. A changed upgrade plan is passed on at once (assembler sets OnPlanChange). A small unshared part stands for those of ten daemons at most.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -186,7 +186,7 @@
 	d.view.upgrader = d.coordination.upgrader
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
-		Listen: settings.PeersListen, Name: settings.Name, State: d.view, Logger: d.loggerFor("broadcaster"),
+		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre, State: d.view, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
@@ -256,6 +256,7 @@
 	return coordination{presenceLease: presence, upgraderLease: lease, upgrader: upgrader.New(upgrader.Settings{
 		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.EngineClient{Connector: d.connector},
 		Placer: d.view.placer, Logger: d.loggerFor("upgrader"), TakeOverDelay: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
+		OnPlanChange: func() { d.broadcaster.SendNow() },
 	})}
 }
 
@@ -286,7 +287,7 @@
 // batchDelay returns how long changes of targets and daemons accumulate in the store before a watch reads them
 // as one batch. It grows with the number of daemons, since every daemon reads every change.
 func (d *Daemon) batchDelay() time.Duration {
-	return min(max(time.Duration(d.view.placer.PeerCount())*batchDelayPerPeer, minBatchDelay), maxBatchDelay)
+	return min(max(time.Duration(d.broadcaster.PeerCount())*batchDelayPerPeer, minBatchDelay), maxBatchDelay)
 }
 
 // Close stops the daemon without draining it, and returns once all its goroutines have ended. After
@@ -338,7 +339,7 @@
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
 		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Strikes: view.attributor,
-		RetryBudget: newRetryBudgets(d.hosted.Load, view.placer.PeerCount), Logger: d.loggerFor("relayer"),
+		RetryBudget: newRetryBudgets(d.hosted.Load, d.broadcaster.PeerCount), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
 }
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
@@ -86,18 +87,24 @@
 	c.poller.SetTargets(polled)
 }
 
-// applyPeers passes the other daemons to the broadcaster and to the assignment of cache polling.
+// applyPeers passes the other daemons to the broadcaster, their number to the placer, and the daemons to the assignment
+// of cache polling.
 func (d *Daemon) applyPeers(peers []tracker.Peer) {
-	var addresses []netip.AddrPort
+	receivers := make([]broadcaster.Peer, 0, len(peers))
 	for _, peer := range peers {
-		addresses = append(addresses, peer.Address)
+		receivers = append(receivers, broadcastPeer(peer))
 	}
-	d.broadcaster.SetPeers(addresses)
+	d.broadcaster.SetPeers(receivers)
+	d.view.placer.SetDaemonCount(len(peers) + 1)
 	d.cachePolling.mu.Lock()
 	defer d.cachePolling.mu.Unlock()
 	d.cachePolling.peers = peers
 }
 
+func broadcastPeer(peer tracker.Peer) broadcaster.Peer {
+	return broadcaster.Peer{Name: strings.TrimPrefix(peer.Key, hostsPrefix), Address: peer.Address, DataCentre: peer.DataCentre}
+}
+
 // isAssigned reports whether this daemon polls the named engine or cache store. The daemon with the highest
 // rendezvous score among those in the data centre of the engine or cache store polls it. If that data centre
 // has no daemon, the daemon with the highest score of all data centres does. While a daemon warms up, it polls
@@ -119,7 +126,7 @@
 		candidates = c.peers
 	}
 	for _, peer := range candidates {
-		if !d.view.placer.PeerAlive(strings.TrimPrefix(peer.Key, hostsPrefix)) {
+		if !d.broadcaster.Alive(broadcastPeer(peer)) {
 			continue // The peer may have stopped; its presence entry remains until it expires.
 		}
 		if rendezvousScore(peer, name) > rendezvousScore(own, name) {
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -47,7 +47,7 @@
 		{"rill_configuration_version", "Version of the configuration in force.", d.configurationVersion},
 		{"rill_contact_age_ms", "Milliseconds since the configuration was known to be the newest.", func() int64 { return v.ContactAge().Milliseconds() }},
 		{"rill_targets", "Targets that are not leaving.", func() int64 { return int64(len(v.placer.Targets())) }},
-		{"rill_peers", "Other daemons that were heard of lately.", func() int64 { return int64(v.placer.PeerCount()) }},
+		{"rill_peers", "Other daemons that are registered, or that were heard of lately if these are more.", func() int64 { return int64(d.broadcaster.PeerCount()) }},
 		{"rill_open_requests", "Requests that are open.", func() int64 { return d.edge.openRequests.Load() }},
 		{"rill_log_lines_dropped", "Log lines that found no room.", d.logWriter.Dropped},
 	} {
--- /dev/null
+++ b/broadcaster/aggregate.go
@@ -0,0 +1,175 @@
+package broadcaster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/attributor"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+)
+
+// fleetName is the name under which State.Import receives the work of all other daemons.
+const fleetName = "fleet"
+
+// contribution is the last known work that one sender reported: that of a daemon, or of the daemons of a data centre.
+type contribution struct {
+	loads      []placer.Load
+	receivedAt time.Time
+}
+
+// news are changes that are passed on once.
+type news struct {
+	holdings []placer.Holding
+	strikes  []attributor.Strike
+}
+
+func (n *news) add(update placer.PeerUpdate) {
+	room := max(maxQueuedHoldings-len(n.holdings), 0)
+	n.holdings = append(n.holdings, update.Holdings[:min(len(update.Holdings), room)]...)
+	n.strikes = append(n.strikes, update.Strikes...)
+}
+
+// aggregate collects what an aggregator receives, and combines it into the messages that it sends.
+type aggregate struct {
+	// members is the work of the other daemons of the data centre, and remote that of the other data centres; both by
+	// the name of the sender.
+	members map[string]contribution
+	remote  map[string]contribution
+	// localNews came from members and goes to all daemons, remoteNews from other data centres and goes to members only.
+	localNews, remoteNews news
+	// plan is the newest upgrade plan that was received, at planAt.
+	plan   placer.UpgradePlan
+	planAt time.Time
+}
+
+func newAggregate() *aggregate {
+	return &aggregate{members: make(map[string]contribution), remote: make(map[string]contribution)}
+}
+
+// addMember records the state of a daemon of the own data centre.
+func (a *aggregate) addMember(name string, update placer.PeerUpdate, now time.Time) {
+	record(a.members, name, update, now)
+	a.localNews.add(update)
+}
+
+// addRemote records the state of another data centre.
+func (a *aggregate) addRemote(sender string, update placer.PeerUpdate, now time.Time) {
+	record(a.remote, sender, update, now)
+	a.remoteNews.add(update)
+}
+
+func record(contributions map[string]contribution, sender string, update placer.PeerUpdate, now time.Time) {
+	loads := update.Loads
+	if update.LoadsOmitted {
+		loads = contributions[sender].loads
+	}
+	contributions[sender] = contribution{loads: loads, receivedAt: now}
+}
+
+// observePlan keeps the plan if it is not older than the known one, and reports whether it differs from that.
+func (a *aggregate) observePlan(plan placer.UpgradePlan, now time.Time) (changed bool) {
+	if plan.FencingToken == 0 || plan.FencingToken < a.plan.FencingToken {
+		return false
+	}
+	changed = plan.FencingToken != a.plan.FencingToken || !slices.Equal(plan.Upgrading, a.plan.Upgrading) || len(plan.Upgraded) != len(a.plan.Upgraded)
+	a.plan, a.planAt = plan, now
+	return changed
+}
+
+// currentPlan returns the known plan, or none if it has not been received lately.
+func (a *aggregate) currentPlan(now time.Time) placer.UpgradePlan {
+	if now.Sub(a.planAt) > contributionTimeout {
+		return placer.UpgradePlan{}
+	}
+	return a.plan
+}
+
+// expire drops the work of senders that have not reported lately.
+func (a *aggregate) expire(now time.Time) {
+	for _, contributions := range []map[string]contribution{a.members, a.remote} {
+		for sender, known := range contributions {
+			if now.Sub(known.receivedAt) > contributionTimeout {
+				delete(contributions, sender)
+			}
+		}
+	}
+}
+
+// combine returns the message for other data centres, which contains the state of the own data centre, and the one for
+// the members, which contains the state of all daemons. own is the state of this daemon.
+func (a *aggregate) combine(self Peer, own placer.PeerUpdate, now time.Time) (forRemote, forMembers Message) {
+	a.expire(now)
+	a.localNews.add(own)
+	plan := own.UpgradePlan
+	if plan.FencingToken == 0 {
+		plan = a.currentPlan(now)
+	}
+	sum := make(workSum)
+	sum.add(own.Loads)
+	sum.addAll(a.members)
+	local := placer.PeerUpdate{
+		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes,
+		AnnouncedVersions: own.AnnouncedVersions, UpgradePlan: plan,
+	}
+	sum.addAll(a.remote)
+	fleet := local
+	fleet.Loads = sum.loads()
+	fleet.Holdings = slices.Concat(local.Holdings, a.remoteNews.holdings)
+	fleet.Strikes = slices.Concat(local.Strikes, a.remoteNews.strikes)
+	a.localNews, a.remoteNews = news{}, news{}
+	return Message{Sender: self.Name, Scope: ScopeDataCentre, Update: local},
+		Message{Sender: self.Name, Scope: ScopeFleet, Update: fleet, Members: a.memberHashes()}
+}
+
+// memberHashes returns the hashes of the names of the daemons that reported lately.
+func (a *aggregate) memberHashes() (hashes []uint64) {
+	for name := range a.members {
+		hashes = append(hashes, nameHash(name))
+	}
+	return hashes
+}
+
+func nameHash(name string) uint64 { return xxh3.HashString(name) }
+
+// workSum is the sum of the work that several daemons have at each target.
+type workSum map[placer.TargetHash]placer.Load
+
+func (s workSum) addAll(contributions map[string]contribution) {
+	for _, known := range contributions {
+		s.add(known.loads)
+	}
+}
+
+func (s workSum) add(loads []placer.Load) {
+	for _, load := range loads {
+		s[load.Target] = s[load.Target].Plus(load)
+	}
+}
+
+// loads returns the sum in an order that does not depend on the map.
+func (s workSum) loads() []placer.Load {
+	loads := make([]placer.Load, 0, len(s))
+	for target, load := range s {
+		load.Target = target
+		loads = append(loads, load)
+	}
+	slices.SortFunc(loads, func(a, b placer.Load) int { return cmp.Compare(a.Target, b.Target) })
+	return loads
+}
+
+// without returns the loads less the daemon's own work, as far as they contain it.
+func without(loads, own []placer.Load) (others []placer.Load) {
+	ownByTarget := make(map[placer.TargetHash]placer.Load, len(own))
+	for _, load := range own {
+		ownByTarget[load.Target] = load
+	}
+	for _, load := range loads {
+		if rest := load.Minus(ownByTarget[load.Target]); rest != (placer.Load{Target: load.Target}) {
+			others = append(others, rest)
+		}
+	}
+	return others
+}
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -1,15 +1,21 @@
 // Package broadcaster sends the state of this daemon, such as its load at the targets, to the other daemons in
 // UDP datagrams, and receives theirs.
 //
+// Up to maxDirectPeers peers, each daemon sends its state to all others. Beyond that the daemons of a data centre send
+// theirs to an aggregator, so that the datagrams of a daemon do not grow with the number of data centres. The aggregator
+// adds the loads up, exchanges the sums with the aggregators of the other data centres, and sends the sum of all to the
+// daemons of its own. It is the first daemon of its data centre that is alive, in an order that all daemons compute from
+// the names. No lease is needed: while two daemons act as aggregators, each serves those that report to it.
+//
 // Datagrams may be lost. Each one contains the whole load, so the next one replaces a lost one. A change of the
 // prompt parts that a target caches (see placer.Holding) is sent only once. If that datagram is lost, a peer may miss a
 // cache fetch.
 //
 // # Usage
 //
-//	b, err := broadcaster.New(broadcaster.Settings{Listen: address, Name: name, State: state})
+//	b, err := broadcaster.New(broadcaster.Settings{Listen: address, Name: name, DataCentre: "north", State: state})
 //	defer b.Close()
-//	b.SetPeers(addresses)
+//	b.SetPeers(peers)
 package broadcaster
 
 import (
@@ -18,7 +24,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -30,16 +35,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("broadcaster")
 
-const (
-	// minInterval is the interval between two messages with up to five peers.
-	minInterval = 50 * time.Millisecond
-	// intervalPerPeer makes the interval grow with the number of peers, so that a daemon sends and
-	// receives at most a hundred datagrams per second whatever that number is.
-	intervalPerPeer = 10 * time.Millisecond
-	// maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below
-	// the usual MTU of 1500 bytes, so that a message fits into one packet unless it has many loads.
-	maxMessageBytes = 1400
-)
+// maxDatagramBytes is the size of the largest datagram that is received.
+const maxDatagramBytes = 64 << 10
 
 // State provides the state that is sent to the peers and imports the state that is received from them.
 type State interface {
@@ -51,26 +48,23 @@
 
 // Settings are the parameters of a Broadcaster.
 type Settings struct {
-	Listen netip.AddrPort
-	Name   string
-	State  State
-	Logger *slog.Logger
+	Listen     netip.AddrPort
+	Name       string
+	DataCentre string
+	State      State
+	Logger     *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
 type Broadcaster struct {
-	settings Settings
-	socket   *net.UDPConn
-	cancel   context.CancelFunc
-	tasks    conc.WaitGroup
+	*Exchange
+	logger *slog.Logger
+	socket *net.UDPConn
+	cancel context.CancelFunc
+	tasks  conc.WaitGroup
 
 	// wake makes sendLoop send a message before the interval is over.
 	wake chan struct{}
-
-	mu    sync.Mutex
-	peers []netip.AddrPort
-	// lastEmpty is set if the last exported update was empty (see placer.PeerUpdate.Empty). Only sendLoop accesses it.
-	lastEmpty bool
 }
 
 // New opens the UDP port and starts the goroutines that send and receive.
@@ -80,7 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	b = &Broadcaster{settings: settings, socket: socket, wake: make(chan struct{}, 1)}
+	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, State: settings.State, Now: time.Now})
+	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
 	b.tasks.Go(func() { b.sendLoop(ctx) })
@@ -96,34 +91,10 @@
 	return err
 }
 
-// SetPeers replaces the addresses of the other daemons.
-func (b *Broadcaster) SetPeers(peers []netip.AddrPort) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.peers = peers
-}
-
-// peersAndInterval returns the peers and the interval between messages to that many peers.
-func (b *Broadcaster) peersAndInterval() (peers []netip.AddrPort, interval time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.peers, max(minInterval, time.Duration(len(b.peers))*intervalPerPeer)
-}
-
 func (b *Broadcaster) sendLoop(ctx context.Context) {
-	for {
-		_, interval := b.peersAndInterval()
-		if !b.waitForSend(ctx, interval) {
-			return
-		}
-		peers, _ := b.peersAndInterval()
-		update := b.settings.State.Export()
-		if update.Empty() && b.lastEmpty {
-			continue
-		}
-		b.lastEmpty = update.Empty() // Of consecutive empty updates only the first is sent. It makes the peers drop the load of this daemon.
-		for _, message := range encode(b.settings.Name, update) {
-			b.send(message, peers)
+	for b.waitForSend(ctx, b.Interval()) {
+		for _, outgoing := range b.Send() {
+			b.write(outgoing)
 		}
 	}
 }
@@ -148,16 +119,18 @@
 	return ctx.Err() == nil
 }
 
-func (b *Broadcaster) send(message []byte, peers []netip.AddrPort) {
-	for _, peer := range peers {
-		if _, err := b.socket.WriteToUDPAddrPort(message, peer); err != nil && !errors.Is(err, net.ErrClosed) {
-			b.settings.Logger.Debug("failed to send a datagram", "peer", peer, "error", err)
+func (b *Broadcaster) write(outgoing Outgoing) {
+	for _, datagram := range outgoing.Datagrams {
+		for _, receiver := range outgoing.To {
+			if _, err := b.socket.WriteToUDPAddrPort(datagram, receiver); err != nil && !errors.Is(err, net.ErrClosed) {
+				b.logger.Debug("failed to send a datagram", "peer", receiver, "error", err)
+			}
 		}
 	}
 }
 
 func (b *Broadcaster) receiveLoop() {
-	buffer := make([]byte, 64<<10)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := b.socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -166,13 +139,12 @@
 		if err != nil {
 			continue // An ICMP error reports that an earlier datagram was sent to a closed port.
 		}
-		name, update, err := Decode(buffer[:n])
+		sendNow, err := b.Receive(buffer[:n])
 		if err != nil {
-			b.settings.Logger.Warn("received a malformed datagram", "from", from, "error", err)
-			continue
+			b.logger.Warn("received a malformed datagram", "from", from, "error", err)
 		}
-		if name != b.settings.Name {
-			b.settings.State.Import(name, update)
+		if sendNow {
+			b.SendNow()
 		}
 	}
 }
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -67,7 +67,7 @@
 func newBroadcaster(t *testing.T, name string, state *fakeState) (*broadcaster.Broadcaster, netip.AddrPort) {
 	t.Helper()
 	address := freeAddress(t)
-	b, err := broadcaster.New(broadcaster.Settings{Listen: address, Name: name, State: state, Logger: slog.New(slog.DiscardHandler)})
+	b, err := broadcaster.New(broadcaster.Settings{Listen: address, Name: name, DataCentre: "north", State: state, Logger: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 	from, to := &fakeState{}, &fakeState{}
 	_, address := newBroadcaster(t, "to", to)
 	b, _ := newBroadcaster(t, "from", from)
-	b.SetPeers([]netip.AddrPort{address})
+	b.SetPeers([]broadcaster.Peer{{Name: "to", Address: address, DataCentre: "north"}})
 	from.mu.Lock()
 	from.outgoing = []placer.PeerUpdate{sent}
 	from.mu.Unlock()
@@ -98,9 +98,12 @@
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	var holdings []placer.Holding
-	for _, received := range to.received["from"] {
+	for i, received := range to.received["from"] {
 		holdings = append(holdings, received.Holdings...)
-		if len(received.Holdings) > 0 && (!reflect.DeepEqual(received.Loads, sent.Loads) || !reflect.DeepEqual(received.AnnouncedVersions, sent.AnnouncedVersions) || !reflect.DeepEqual(received.UpgradePlan, sent.UpgradePlan)) {
+		if received.LoadsOmitted != (i > 0) {
+			t.Fatalf("message %d of the update has LoadsOmitted %t", i, received.LoadsOmitted)
+		}
+		if i == 0 && (!reflect.DeepEqual(received.Loads, sent.Loads) || !reflect.DeepEqual(received.AnnouncedVersions, sent.AnnouncedVersions) || !reflect.DeepEqual(received.UpgradePlan, sent.UpgradePlan)) {
 			t.Fatalf("a message contains %+v", received)
 		}
 	}
@@ -134,8 +137,8 @@
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x0a, 0x01, 'x', 0x12, 0x02, 0x08, 0x01})
 	f.Fuzz(func(t *testing.T, message []byte) {
-		name, _, err := broadcaster.Decode(message)
-		if err == nil && name == "" {
+		decoded, err := broadcaster.Decode(message)
+		if err == nil && decoded.Sender == "" {
 			t.Error("a message without a sender was accepted")
 		}
 	})
--- /dev/null
+++ b/broadcaster/exchange_test.go
@@ -0,0 +1,297 @@
+package broadcaster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/broadcaster"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+)
+
+const (
+	// tick is the step of the simulated clock, and also how long a datagram takes.
+	tick = 5 * time.Millisecond
+	// engines is the number of targets to which the simulated daemons send.
+	engines = 63
+	// maxWorkAge is the age of the work of another daemon on which a daemon may rely in a calm fleet of any size. It lies
+	// below the 400 ms within which the shortest requests are to begin, and a message on each of the three legs.
+	maxWorkAge = 700 * time.Millisecond
+	// recoveryBound is how long after the loss of daemons the others may be without news of each other. Operators of
+	// fleets of this size count hosts as undisturbed again four seconds after a disturbance.
+	recoveryBound = 4 * time.Second
+)
+
+// simulatedDaemon is a daemon whose datagrams a simulatedFleet delivers. It is the State of its Exchange.
+type simulatedDaemon struct {
+	*broadcaster.Exchange
+	peer     broadcaster.Peer
+	nextSend time.Time
+	stopped  bool
+	sent     int
+
+	own      placer.PeerUpdate
+	work     map[string][]placer.Load
+	holdings []placer.Holding
+	plan     placer.UpgradePlan
+}
+
+func (d *simulatedDaemon) Export() placer.PeerUpdate {
+	update := d.own
+	d.own.Holdings = nil
+	return update
+}
+
+func (d *simulatedDaemon) Import(peer string, update placer.PeerUpdate) {
+	if !update.LoadsOmitted {
+		d.work[peer] = slices.Clone(update.Loads)
+	}
+	d.holdings = append(d.holdings, update.Holdings...)
+	if update.UpgradePlan.FencingToken >= d.plan.FencingToken {
+		d.plan = update.UpgradePlan
+	}
+}
+
+// requestsOfOthers returns the number of requests that the others have, as far as the daemon knows.
+func (d *simulatedDaemon) requestsOfOthers() (requests int) {
+	for _, loads := range d.work {
+		for _, load := range loads {
+			requests += load.Requests
+		}
+	}
+	return requests
+}
+
+// simulatedFleet delivers the datagrams of daemons by a simulated clock, without a network.
+type simulatedFleet struct {
+	now     time.Time
+	daemons []*simulatedDaemon
+	byAddr  map[netip.AddrPort]*simulatedDaemon
+	// blocked reports whether the datagrams between two daemons are lost.
+	blocked func(from, to *simulatedDaemon) bool
+	random  *rand.Rand
+}
+
+func newSimulatedFleet(count, dataCentres int) *simulatedFleet {
+	f := &simulatedFleet{
+		now: time.Unix(1_000_000, 0), byAddr: make(map[netip.AddrPort]*simulatedDaemon), random: rand.New(rand.NewPCG(1, 2)),
+		blocked: func(_, _ *simulatedDaemon) bool { return false },
+	}
+	for i := range count {
+		d := &simulatedDaemon{work: make(map[string][]placer.Load)}
+		d.peer = broadcaster.Peer{
+			Name: fmt.Sprintf("d%d", i), DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80),
+		}
+		d.own.Loads = []placer.Load{{Target: placer.TargetHash(1 + i%engines), Requests: 1}}
+		d.Exchange = broadcaster.NewExchange(broadcaster.ExchangeSettings{
+			Name: d.peer.Name, DataCentre: d.peer.DataCentre, State: d, Now: func() time.Time { return f.now },
+		})
+		d.nextSend = f.now.Add(time.Duration(f.random.Int64N(int64(300 * time.Millisecond))))
+		f.daemons = append(f.daemons, d)
+		f.byAddr[d.peer.Address] = d
+	}
+	for _, d := range f.daemons {
+		var peers []broadcaster.Peer
+		for _, other := range f.daemons {
+			if other != d {
+				peers = append(peers, other.peer)
+			}
+		}
+		d.SetPeers(peers)
+	}
+	return f
+}
+
+// run lets the fleet run for a while.
+func (f *simulatedFleet) run(t *testing.T, duration time.Duration) {
+	t.Helper()
+	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(tick) {
+		for _, d := range f.daemons {
+			if !d.stopped && !f.now.Before(d.nextSend) {
+				f.deliver(t, d)
+			}
+		}
+	}
+}
+
+func (f *simulatedFleet) deliver(t *testing.T, from *simulatedDaemon) {
+	t.Helper()
+	from.nextSend = f.now.Add(from.Interval())
+	for _, outgoing := range from.Send() {
+		for _, datagram := range outgoing.Datagrams {
+			for _, address := range outgoing.To {
+				from.sent++
+				to := f.byAddr[address]
+				if to.stopped || f.blocked(from, to) {
+					continue
+				}
+				sendNow, err := to.Receive(datagram)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if sendNow {
+					to.nextSend = f.now
+				}
+			}
+		}
+	}
+}
+
+func (f *simulatedFleet) running() (running []*simulatedDaemon) {
+	for _, d := range f.daemons {
+		if !d.stopped {
+			running = append(running, d)
+		}
+	}
+	return running
+}
+
+// checkWork fails the test if a running daemon does not know the work of exactly all other running daemons.
+func (f *simulatedFleet) checkWork(t *testing.T, when string) {
+	t.Helper()
+	running := f.running()
+	for _, d := range running {
+		if known := d.requestsOfOthers(); known != len(running)-1 {
+			t.Fatalf("%s: %s knows of %d requests of others, %d are running", when, d.peer.Name, known, len(running)-1)
+		}
+	}
+}
+
+var fleetSizes = []struct{ daemons, dataCentres int }{{7, 3}, {16, 3}, {30, 3}, {85, 3}, {200, 5}, {500, 5}}
+
+// Many hosts in several data centres each send a few requests to the same engines. Each daemon has to know the work of
+// all others within the time in which short requests are to begin, and has to count all of them, whatever their number.
+func TestWorkIsKnownEverywhereInTime(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(fmt.Sprint(size.daemons), func(t *testing.T) {
+			f := newSimulatedFleet(size.daemons, size.dataCentres)
+			f.run(t, 3*time.Second)
+			f.checkWork(t, "calm")
+			for _, d := range f.daemons {
+				if d.PeerCount() < size.daemons-1 {
+					t.Fatalf("%s counts %d peers of %d", d.peer.Name, d.PeerCount(), size.daemons-1)
+				}
+			}
+			changed := f.daemons[f.random.IntN(len(f.daemons))]
+			changed.own.Loads = []placer.Load{{Target: 1, Requests: 1000}}
+			f.run(t, maxWorkAge)
+			for _, d := range f.daemons {
+				if d != changed && d.requestsOfOthers() < 1000 {
+					t.Errorf("%s does not know the work that %s has had for %s", d.peer.Name, changed.peer.Name, maxWorkAge)
+				}
+			}
+		})
+	}
+}
+
+// The datagrams of a daemon must not grow with the number of data centres, and those of an aggregator only with the
+// number of daemons of its own.
+func TestDatagramsStayBoundedInLargeFleets(t *testing.T) {
+	for _, size := range fleetSizes {
+		f := newSimulatedFleet(size.daemons, size.dataCentres)
+		f.run(t, 2*time.Second)
+		for _, d := range f.daemons {
+			d.sent = 0
+		}
+		const seconds = 4
+		f.run(t, seconds*time.Second)
+		var counts []int
+		total := 0
+		for _, d := range f.daemons {
+			counts = append(counts, d.sent/seconds)
+			total += d.sent / seconds
+		}
+		slices.Sort(counts)
+		median, most := counts[len(counts)/2], counts[len(counts)-1]
+		t.Logf("%d daemons: %d datagrams/s in all, median %d, most %d", size.daemons, total, median, most)
+		if median > 200 || most > 500 || size.daemons > 30 && median > 20 {
+			t.Errorf("%d daemons: the median daemon sends %d datagrams/s, one of them %d", size.daemons, median, most)
+		}
+	}
+}
+
+// Half of the hosts are killed at the same moment, among them the aggregators.
+func TestWorkIsKnownAfterManyDaemonsStop(t *testing.T) {
+	for _, size := range fleetSizes[2:] {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%d/%d", size.daemons, seed), func(t *testing.T) {
+				f := newSimulatedFleet(size.daemons, size.dataCentres)
+				random := rand.New(rand.NewPCG(seed, 0))
+				f.run(t, 2*time.Second)
+				for _, d := range f.daemons {
+					d.stopped = random.Float64() < 0.55
+				}
+				f.run(t, recoveryBound)
+				f.checkWork(t, fmt.Sprintf("seed %d", seed))
+				for _, d := range f.running() {
+					for _, other := range f.daemons {
+						if other != d && other.peer.DataCentre == d.peer.DataCentre && d.Alive(other.peer) == other.stopped {
+							t.Fatalf("%s counts %s as alive: %t, stopped: %t", d.peer.Name, other.peer.Name, d.Alive(other.peer), other.stopped)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// A data centre is cut off from the others, and later it is not any more.
+func TestCutOffDataCentreGoesOnAlone(t *testing.T) {
+	f := newSimulatedFleet(200, 5)
+	f.run(t, 2*time.Second)
+	f.blocked = func(from, to *simulatedDaemon) bool {
+		return (from.peer.DataCentre == "dc0") != (to.peer.DataCentre == "dc0")
+	}
+	f.run(t, recoveryBound)
+	for _, d := range f.daemons {
+		want := 160 - 1
+		if d.peer.DataCentre == "dc0" {
+			want = 40 - 1
+		}
+		if d.requestsOfOthers() != want {
+			t.Fatalf("%s in %s knows of %d requests of others, want %d", d.peer.Name, d.peer.DataCentre, d.requestsOfOthers(), want)
+		}
+	}
+	f.blocked = func(_, _ *simulatedDaemon) bool { return false }
+	f.run(t, recoveryBound)
+	f.checkWork(t, "healed")
+}
+
+// Any daemon may hold the update lock, tell its plan and read cache events. The plan has to reach all others before an
+// engine is ordered to change its weights, and each change of a cache once.
+func TestPlansAndHoldingsReachAllDaemons(t *testing.T) {
+	f := newSimulatedFleet(200, 5)
+	f.run(t, 2*time.Second)
+	for i, sender := range []*simulatedDaemon{f.daemons[0], f.daemons[57], f.daemons[199]} {
+		for _, d := range f.daemons {
+			d.holdings = nil
+		}
+		plan := placer.UpgradePlan{FencingToken: uint64(i + 1), Upgrading: []placer.TargetHash{placer.TargetHash(i + 1)}}
+		sender.own.UpgradePlan = plan
+		for part := range 100 {
+			sender.own.Holdings = append(sender.own.Holdings, placer.Holding{Target: 1, Key: uint64(part), Tokens: 5000})
+		}
+		sender.nextSend = f.now
+		f.run(t, 100*time.Millisecond)
+		for _, d := range f.daemons {
+			if d != sender && d.plan.FencingToken != plan.FencingToken {
+				t.Fatalf("%s has plan %v, %s has told %v for 100 ms", d.peer.Name, d.plan, sender.peer.Name, plan)
+			}
+		}
+		f.run(t, maxWorkAge)
+		for _, d := range f.daemons {
+			seen := make(map[uint64]bool)
+			for _, holding := range d.holdings {
+				seen[holding.Key] = true
+			}
+			if d != sender && len(seen) != 100 {
+				t.Fatalf("%s knows %d of 100 holdings", d.peer.Name, len(seen))
+			}
+		}
+		sender.own.UpgradePlan = placer.UpgradePlan{}
+	}
+}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -23,6 +24,11 @@
 	fieldUpgrading    protowire.Number = 6
 	fieldUpgraded     protowire.Number = 7
 	fieldFencingToken protowire.Number = 8
+	// fieldScope is the Scope of a message. fieldLoadsOmitted is 1 if the message continues another one that contains
+	// the loads. fieldMembers contains the hashes of the members' names, eight bytes each.
+	fieldScope        protowire.Number = 9
+	fieldLoadsOmitted protowire.Number = 10
+	fieldMembers      protowire.Number = 11
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -41,34 +47,96 @@
 
 var errMalformed = errors.New("malformed message")
 
-// encode returns one message with the whole update, or several messages if the holdings do not fit into one. Each of
-// them repeats the rest of the update, since a receiver replaces the loads of the previous message.
-func encode(name string, update placer.PeerUpdate) (messages [][]byte) {
+// Scope tells whose state a message contains.
+type Scope uint8
+
+// The scopes of messages.
+const (
+	// ScopeDaemon is the state of the sender alone.
+	ScopeDaemon Scope = iota
+	// ScopeDataCentre is the state of all daemons of the sender's data centre.
+	ScopeDataCentre
+	// ScopeFleet is the state of all daemons, including the receiver.
+	ScopeFleet
+)
+
+// Message is a decoded datagram.
+type Message struct {
+	Sender string
+	Scope  Scope
+	Update placer.PeerUpdate
+	// Members are the hashes of the names of the daemons that report to the sender; only in messages of ScopeFleet.
+	Members []uint64
+}
+
+// maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
+// 1500 bytes, so that a message fits into one packet unless it has many loads.
+const maxMessageBytes = 1400
+
+// Encode returns one datagram with the whole message, or several if the holdings do not fit into one. The first one
+// contains all of the rest, and the others only holdings.
+func (m Message) Encode() (datagrams [][]byte) {
 	head := protowire.AppendTag(nil, fieldName, protowire.BytesType)
-	head = protowire.AppendString(head, name)
-	for _, load := range update.Loads {
+	head = protowire.AppendString(head, m.Sender)
+	head = appendVarint(head, fieldScope, uint64(m.Scope))
+	datagram := m.appendState(append([]byte(nil), head...))
+	for _, holding := range m.Update.Holdings {
+		if len(datagram) > maxMessageBytes {
+			datagrams = append(datagrams, datagram)
+			datagram = appendVarint(append([]byte(nil), head...), fieldLoadsOmitted, 1)
+		}
+		datagram = appendVarints(datagram, fieldHolding, uint64(holding.Target), holding.Key, uint64(holding.Tokens))
+	}
+	return append(datagrams, datagram)
+}
+
+// appendState appends all of the message except the sender, the scope and the holdings.
+func (m Message) appendState(datagram []byte) []byte {
+	for _, load := range m.Update.Loads {
 		values := []uint64{uint64(load.Target), uint64(max(load.Requests, 0)), uint64(max(load.KVCacheTokens, 0))}
 		for _, tokens := range load.PendingPrefill {
 			values = append(values, uint64(max(tokens, 0)))
 		}
-		head = appendVarints(head, fieldLoad, values...)
+		datagram = appendVarints(datagram, fieldLoad, values...)
+	}
+	for _, announced := range m.Update.AnnouncedVersions {
+		datagram = appendAnnouncedVersion(datagram, announced)
+	}
+	for _, strike := range m.Update.Strikes {
+		datagram = appendVarints(datagram, fieldStrike, strike.Request, strike.Incarnation)
+	}
+	datagram = appendMembers(datagram, m.Members)
+	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
+}
+
+// appendVarint appends a number as a field of the message itself. Zero is omitted.
+func appendVarint(message []byte, field protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return message
 	}
-	for _, announced := range update.AnnouncedVersions {
-		head = appendAnnouncedVersion(head, announced)
+	return protowire.AppendVarint(protowire.AppendTag(message, field, protowire.VarintType), value)
+}
+
+func appendMembers(message []byte, members []uint64) []byte {
+	if len(members) == 0 {
+		return message
 	}
-	for _, strike := range update.Strikes {
-		head = appendVarints(head, fieldStrike, strike.Request, strike.Incarnation)
+	var hashes []byte
+	for _, member := range members {
+		hashes = protowire.AppendFixed64(hashes, member)
 	}
-	head = appendUpgradePlan(head, update.UpgradePlan)
-	message := append([]byte(nil), head...)
-	for _, holding := range update.Holdings {
-		if len(message) > maxMessageBytes && len(message) > len(head) {
-			messages = append(messages, message)
-			message = append([]byte(nil), head...)
+	return protowire.AppendBytes(protowire.AppendTag(message, fieldMembers, protowire.BytesType), hashes)
+}
+
+func decodeMembers(hashes []byte) (members []uint64) {
+	for len(hashes) > 0 {
+		member, n := protowire.ConsumeFixed64(hashes)
+		if n < 0 {
+			return members
 		}
-		message = appendVarints(message, fieldHolding, uint64(holding.Target), holding.Key, uint64(holding.Tokens))
+		members, hashes = append(members, member), hashes[n:]
 	}
-	return append(messages, message)
+	return members
 }
 
 // appendVarints appends a submessage with the values as varints in fields numbered from one. Zeros are omitted.
@@ -115,40 +183,56 @@
 	return protowire.AppendBytes(message, encoded)
 }
 
-// Decode decodes a message and returns the name of its sender and the state in it. Unknown fields are
-// ignored.
-func Decode(message []byte) (name string, update placer.PeerUpdate, err error) {
-	err = decodeFields(message, func(field protowire.Number, value []byte) error {
-		if field == fieldName {
-			name = string(value)
+// Decode decodes a datagram. Unknown fields are skipped.
+func Decode(datagram []byte) (message Message, err error) {
+	update := &message.Update
+	err = decodeFields(datagram, func(field protowire.Number, value []byte) error {
+		switch field {
+		case fieldName:
+			message.Sender = string(value)
+			return nil
+		case fieldMembers:
+			message.Members = decodeMembers(value)
 			return nil
 		}
 		decoded, err := decodeSubmessage(value)
 		if err != nil {
 			return err
 		}
+		decoded.addTo(update, field)
+		return nil
+	}, func(field protowire.Number, value uint64) {
 		switch field {
-		case fieldLoad:
-			update.Loads = append(update.Loads, decoded.load())
-		case fieldHolding:
-			update.Holdings = append(update.Holdings, decoded.holding())
-		case fieldFencingToken:
-			update.UpgradePlan.FencingToken = decoded.numbers[fieldTarget]
-		case fieldUpgrading:
-			update.UpgradePlan.Upgrading = append(update.UpgradePlan.Upgrading, placer.TargetHash(decoded.numbers[fieldTarget]))
-		case fieldUpgraded:
-			update.UpgradePlan.Upgraded = append(update.UpgradePlan.Upgraded, decoded.upgradedTarget())
-		case fieldStrike:
-			update.Strikes = append(update.Strikes, decoded.strike())
-		case fieldAnnouncedVersion:
-			update.AnnouncedVersions = append(update.AnnouncedVersions, decoded.announcedVersion())
+		case fieldScope:
+			message.Scope = Scope(min(value, math.MaxUint8))
+		case fieldLoadsOmitted:
+			update.LoadsOmitted = value != 0
 		}
-		return nil
-	}, func(protowire.Number, uint64) {})
-	if err == nil && name == "" {
+	})
+	if err == nil && (message.Sender == "" || message.Scope > ScopeFleet) {
 		err = errMalformed
 	}
-	return name, update, err
+	return message, err
+}
+
+// addTo adds the submessage, which is the value of a field, to the update.
+func (s submessage) addTo(update *placer.PeerUpdate, field protowire.Number) {
+	switch field {
+	case fieldLoad:
+		update.Loads = append(update.Loads, s.load())
+	case fieldHolding:
+		update.Holdings = append(update.Holdings, s.holding())
+	case fieldFencingToken:
+		update.UpgradePlan.FencingToken = s.numbers[fieldTarget]
+	case fieldUpgrading:
+		update.UpgradePlan.Upgrading = append(update.UpgradePlan.Upgrading, placer.TargetHash(s.numbers[fieldTarget]))
+	case fieldUpgraded:
+		update.UpgradePlan.Upgraded = append(update.UpgradePlan.Upgraded, s.upgradedTarget())
+	case fieldStrike:
+		update.Strikes = append(update.Strikes, s.strike())
+	case fieldAnnouncedVersion:
+		update.AnnouncedVersions = append(update.AnnouncedVersions, s.announcedVersion())
+	}
 }
 
 // decodeFields calls onBytes or onVarint for each field of a message. Other wire types are skipped.
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -46,10 +46,14 @@
 	keys := call.sharedPartKeys(best.version)
 	capacity := p.cacheCapacity(t)
 	for i, key := range keys {
-		if t.cached.add(key, call.Parts[i].Tokens, capacity, now.Add(best.expected)) {
+		tokens := call.Parts[i].Tokens
+		isNew := t.cached.add(key, tokens, capacity, now.Add(best.expected))
+		if isNew {
 			added = append(added, key)
 		}
-		p.announce(t.hash, key, call.Parts[i].Tokens)
+		if isNew || tokens >= minAnnouncedTokens {
+			p.announce(t.hash, key, tokens)
+		}
 	}
 	p.recordUnsharedPart(t, call, capacity)
 	p.recordStoreTransfers(t, call, best, keys, now)
@@ -69,8 +73,12 @@
 	}
 }
 
-// daemonCount returns the number of daemons: this one and the peers whose work is counted (see PeerCount).
-func (p *Placer) daemonCount() int { return len(p.peers) + 1 }
+// daemonCount returns the number of daemons, including this one.
+func (p *Placer) daemonCount() int { return max(p.daemons, len(p.peers)+1) }
+
+// maxUnsharedFactor bounds the factor by which a small unshared part stands for those of all daemons. A larger one would
+// push most of what the engine holds out of its modelled cache at once.
+const maxUnsharedFactor = 10
 
 // recordUnsharedPart records the part that belongs to the call alone, which occupies cache space although no other
 // request uses it. Unshared parts below minAnnouncedTokens are not announced to the peers. To account for those of the
@@ -82,7 +90,7 @@
 	p.unsharedPartCount++
 	key, tokens := partKey(p.unsharedPartCount), call.unsharedTokens()
 	if tokens < minAnnouncedTokens {
-		t.cached.put(key, tokens*p.daemonCount(), capacity)
+		t.cached.put(key, tokens*min(p.daemonCount(), maxUnsharedFactor), capacity)
 		return
 	}
 	key ^= partKey(p.unsharedPartSeed)
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -30,7 +30,7 @@
 	// fetchOverhead is the time that a fetch takes in addition to the transfer.
 	fetchOverhead = 3 * time.Millisecond
 	// minFetchTokens is the smallest number of prompt tokens that is fetched.
-	minFetchTokens = 512
+	minFetchTokens = minSharedTokens
 	// nonHomePenaltyFraction is the fraction of the prefill time of a prompt's shared parts that is added to the
 	// cost of every target except the prompt's home, if no target holds any of the parts. See preferHome.
 	nonHomePenaltyFraction = 0.5
--- a/placer/events.go
+++ b/placer/events.go
@@ -46,10 +46,10 @@
 	for _, change := range events.Changes {
 		key := partKey(change.Key)
 		before, tokens := cached.heldTokens(key), change.Tokens
-		if tokens < minAnnouncedTokens {
-			tokens = 0 // The tokens left of the part are too few to fetch.
+		if beingEvicted := tokens < before && tokens < minAnnouncedTokens; beingEvicted || tokens < minSharedTokens {
+			tokens = 0 // The rest of the part will be gone soon, or is too small to fetch.
 		}
-		if before < minAnnouncedTokens && tokens == 0 {
+		if before < minSharedTokens && tokens == 0 {
 			continue
 		}
 		cached.put(key, tokens, capacity)
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -163,12 +163,22 @@
 }
 
 // prefixTokens adds up tokensOf for the parts, up to and including the first part of which at least blockTokens
-// tokens are missing.
+// tokens are missing. A part below minSharedTokens is not announced by peers. It counts as held if the part after it is,
+// since a target that uses a part also uses those before it.
 func (c Call) prefixTokens(keys []partKey, tokensOf func(partKey) int) (tokens int) {
+	unannounced := 0
 	for i, key := range keys {
-		available := min(tokensOf(key), c.Parts[i].Tokens)
-		tokens += available
-		if available+blockTokens <= c.Parts[i].Tokens {
+		size := c.Parts[i].Tokens
+		available := min(tokensOf(key), size)
+		if available == 0 && size < minSharedTokens {
+			unannounced += size
+			continue
+		}
+		if available > 0 {
+			tokens += unannounced + available
+			unannounced = 0
+		}
+		if available+blockTokens <= size {
 			break
 		}
 	}
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -22,6 +22,26 @@
 	KVCacheTokens int
 }
 
+// Plus returns the work of both at the target of other.
+func (l Load) Plus(other Load) Load {
+	for urgency, tokens := range l.PendingPrefill {
+		other.PendingPrefill[urgency] += tokens
+	}
+	other.Requests += l.Requests
+	other.KVCacheTokens += l.KVCacheTokens
+	return other
+}
+
+// Minus returns the work without that of other, but no negative count.
+func (l Load) Minus(other Load) Load {
+	for urgency, tokens := range other.PendingPrefill {
+		l.PendingPrefill[urgency] = max(l.PendingPrefill[urgency]-tokens, 0)
+	}
+	l.Requests = max(l.Requests-other.Requests, 0)
+	l.KVCacheTokens = max(l.KVCacheTokens-other.KVCacheTokens, 0)
+	return l
+}
+
 // Holding is the number of tokens of a part that a target holds, or will hold after its prefill.
 type Holding struct {
 	Target TargetHash
@@ -53,9 +73,11 @@
 	Version int64
 }
 
-// PeerUpdate is the state that one daemon sends to its peers.
+// PeerUpdate is the state that one daemon sends to its peers, or the combined state of several daemons.
 type PeerUpdate struct {
-	Loads             []Load
+	Loads []Load
+	// LoadsOmitted is set if the update continues another one that contains the loads.
+	LoadsOmitted      bool
 	Holdings          []Holding
 	AnnouncedVersions []AnnouncedVersion
 	Strikes           []attributor.Strike
@@ -76,10 +98,14 @@
 }
 
 const (
-	// peerTimeout is how long the work of a peer counts after its last message.
+	// peerTimeout is how long the work of a peer counts after its last message. It exceeds the longest interval of
+	// package broadcaster several times.
 	peerTimeout = 1500 * time.Millisecond
-	// minAnnouncedTokens is the size of the smallest part that is announced to peers.
+	// minAnnouncedTokens is the size of the smallest part that is announced to peers each time it is used.
 	minAnnouncedTokens = 1000
+	// minSharedTokens is the size of the smallest shared part that is announced to peers when a target begins or
+	// ceases to hold it. Reading a smaller part again takes less time than fetching it.
+	minSharedTokens = 128
 	// maxPendingHoldings bounds the parts that wait to be announced. Further ones are not announced.
 	maxPendingHoldings = 512
 )
@@ -121,9 +147,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Now()
-	p.addPeerWork(p.peers[name].loads, work.negated)
-	p.peers[name] = peer{loads: slices.Clone(update.Loads), receivedAt: now}
-	p.addPeerWork(update.Loads, identity)
+	p.replacePeerWork(name, update, now)
 	for _, announced := range update.AnnouncedVersions {
 		p.addWanted(announced.Model, wantedVersion{version: announced.Version, since: now.Add(-announced.Age)})
 	}
@@ -140,6 +164,16 @@
 	}
 }
 
+// replacePeerWork replaces the known work of a peer, unless the update omits it.
+func (p *Placer) replacePeerWork(name string, update PeerUpdate, now time.Time) {
+	if update.LoadsOmitted {
+		return
+	}
+	p.addPeerWork(p.peers[name].loads, work.negated)
+	p.peers[name] = peer{loads: slices.Clone(update.Loads), receivedAt: now}
+	p.addPeerWork(update.Loads, identity)
+}
+
 // prefillBacklog returns the time that the target is expected to need for the prefill of all requests sent to it.
 func (p *Placer) prefillBacklog(target TargetHash) time.Duration {
 	t := p.byHash[target]
@@ -166,20 +200,11 @@
 	return known
 }
 
-// PeerCount returns the number of peers whose work is counted. A peer that has timed out is included until the next
-// Import.
-func (p *Placer) PeerCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.peers)
-}
-
-// PeerAlive reports whether the named daemon has sent a message within peerTimeout.
-func (p *Placer) PeerAlive(name string) bool {
+// SetDaemonCount sets the number of daemons, including this one.
+func (p *Placer) SetDaemonCount(count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, heard := p.peers[name]
-	return heard && p.settings.Now().Sub(known.receivedAt) <= peerTimeout
+	p.daemons = count
 }
 
 // cacheOf returns the parts that a target or the store holds, and its capacity in tokens.
@@ -193,9 +218,10 @@
 	return nil, 0
 }
 
-// announce queues the number of held tokens of a part for the next update to the peers.
+// announce queues the number of held tokens of a part for the next update to the peers. Parts below minSharedTokens
+// are not announced.
 func (p *Placer) announce(holder TargetHash, key partKey, tokens int) {
-	if (tokens == 0 || tokens >= minAnnouncedTokens) && len(p.pendingHoldings) < maxPendingHoldings {
+	if (tokens == 0 || tokens >= minSharedTokens) && len(p.pendingHoldings) < maxPendingHoldings {
 		p.pendingHoldings = append(p.pendingHoldings, Holding{Target: holder, Key: uint64(key), Tokens: tokens})
 	}
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -186,10 +186,12 @@
 	engines   map[string]Engine         // by service
 	wanted    map[string]versionHistory // by model
 	byService map[string][]*target      // by service
-	peers     map[string]peer           // by the name of the daemon
+	peers     map[string]peer           // by the name that Import was given
 	byHash    map[TargetHash]*target
 	rates     map[string]*prefillEstimator // by service
 	store     *partStore
+	// daemons is the number of daemons, as last set by SetDaemonCount.
+	daemons int
 	// pendingHoldings are parts that are not yet announced to the peers.
 	pendingHoldings []Holding
 	// unsharedPartCount numbers the parts that belong to one call alone; unsharedPartSeed keeps their keys distinct
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -521,14 +521,20 @@
 	}
 }
 
-func TestSilentPeerTimesOut(t *testing.T) {
+func TestWorkOfSilentPeerTimesOut(t *testing.T) {
 	f := newFixture(t, 1)
-	f.placer.Import("other", placer.PeerUpdate{})
-	if !f.placer.PeerAlive("other") || f.placer.PeerAlive("nobody") {
-		t.Error("a peer that has just sent a message does not count as alive, or one that never sent any does")
+	idle := f.choose(shortCall())
+	idle.Attempt.Finish()
+	peer := f.newPlacer(1)
+	if _, err := peer.Choose(longCall("x"), nil); err != nil {
+		t.Fatal(err)
 	}
+	f.placer.Import("other", peer.Export())
+	busy := f.choose(shortCall())
+	busy.Attempt.Finish()
 	f.now = f.now.Add(5 * time.Second)
-	if f.placer.PeerAlive("other") {
-		t.Error("a peer that has sent nothing for 5 s counts as alive")
+	f.placer.Import("third", placer.PeerUpdate{})
+	if later := f.choose(shortCall()); busy.Expected <= idle.Expected || later.Expected > idle.Expected {
+		t.Errorf("expected %s with the work of a peer, %s once it has been silent for 5 s, %s without it", busy.Expected, later.Expected, idle.Expected)
 	}
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -308,19 +308,27 @@
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
 		"target", r.target, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
 		"read", r.choice.PrefillTokens, "ahead", r.choice.QueuedPrefillTokens, "in_hand", r.choice.Requests,
-		"prompt", firstSharedPart(r.call.Prompt), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.sends, "runs", r.runs,
+		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.sends, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
 		"cause", errorText(r.cause))
 }
 
-// firstSharedPart returns the id of the prompt's first part, or the empty string if the prompt has only the
-// last part, which no other request shares.
-func firstSharedPart(prompt Prompt) string {
+// lastSharedPart returns the id of the last part that other requests share, or the empty string if the prompt has only
+// the part that no other request shares.
+func lastSharedPart(prompt Prompt) string {
 	if len(prompt.Parts) < 2 {
 		return ""
 	}
-	return prompt.Parts[0].ID
+	return prompt.Parts[len(prompt.Parts)-2].ID
+}
+
+// sharedTokensToRead returns how many tokens of the shared parts the target was expected to read.
+func (r *relayedRequest) sharedTokensToRead() int {
+	if len(r.call.Prompt.Parts) < 2 {
+		return 0
+	}
+	return max(r.choice.PrefillTokens-r.call.Prompt.Parts[len(r.call.Prompt.Parts)-1].Tokens, 0)
 }
 
 func addressText(address netip.AddrPort) string {
