--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -168,7 +168,7 @@
 		return nil, errs.New("no address of the platform's store is set")
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.Hosted.MemoryBytes)))
+	debug.SetMemoryLimit(int64(memoryLimitRatio * settings.Hosted.MemoryBytes))
 	d = &Daemon{
 		settings:  settings,
 		logWriter: observer.NewAsyncWriter(settings.LogOutput),
--- a/assembler/budget.go
+++ b/assembler/budget.go
@@ -38,7 +38,7 @@
 }
 
 func (b *retryBudgets) burst() float64 {
-	return max(float64(b.settings().RetryBurst)/float64(b.peers()+1+undiscoveredDaemons), 1)
+	return max(b.settings().RetryBurst/float64(b.peers()+1+undiscoveredDaemons), 1)
 }
 
 func (b *retryBudgets) forService(service string) *limiter.RetryBudget {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -108,7 +108,7 @@
 	// MetricsListen is the address that serves the metrics.
 	MetricsListen netip.AddrPort
 	// MemoryBytes is the memory that is available to the process.
-	MemoryBytes int
+	MemoryBytes float64
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// KeyRevocation is the maximum time from the revocation of a key until no daemon accepts it.
@@ -122,7 +122,7 @@
 	// RetryRatio and RetryBurst bound the retries to a service by all daemons together, over any
 	// period, to RetryRatio times the number of its requests plus RetryBurst.
 	RetryRatio float64
-	RetryBurst int
+	RetryBurst float64
 }
 
 // LogFormat is the format of log lines.
--- a/loader/table.go
+++ b/loader/table.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,6 +16,8 @@
 	shortestDuration = time.Millisecond
 	longestDuration  = 24 * time.Hour
 	maxBytes         = 1 << 30
+	// maxBound is the largest bound that a hosting platform may set, of whatever unit.
+	maxBound = 1 << 50
 )
 
 // Field describes one setting.
@@ -124,6 +127,29 @@
 	}
 }
 
+// boundField declares a bound that the hosting platform sets. It may be a fraction, since the platform scales bounds to
+// the size of a deployment.
+func boundField(name, meaning string, valueIn func(*Settings) *float64) field {
+	return field{
+		name: name, form: "number from 0", meaning: meaning,
+		read: func(node locator.Node, s *Settings) { *valueIn(s), _ = node.Float(0, maxBound) },
+		show: func(s *Settings) string { return strconv.FormatFloat(*valueIn(s), 'f', -1, 64) },
+	}
+}
+
+// spanField declares a time that the hosting platform sets. Zero stands for the default.
+func spanField(name, meaning string, valueIn func(*Settings) *time.Duration) field {
+	return field{
+		name: name, form: "duration, 0 for the default", meaning: meaning,
+		read: func(node locator.Node, s *Settings) {
+			if value, ok := node.Duration(0, longestDuration); ok && value > 0 {
+				*valueIn(s) = value
+			}
+		},
+		show: func(s *Settings) string { return valueIn(s).String() },
+	}
+}
+
 func positiveIntField(name, form, meaning string, highest int, valueIn func(*Settings) *int) field {
 	return field{
 		name: name, form: form, meaning: meaning,
