--- a/follower/follower.go
+++ b/follower/follower.go
@@ -61,7 +61,7 @@
 	// OnContact is called when the store has confirmed all items up to a revision, with the time for which it did so.
 	// It is called after the items were passed to Sink. Default: no call.
 	OnContact func(revision storer.Version, contact clocker.Instant)
-	Logger     *slog.Logger
+	Logger    *slog.Logger
 	// Now is the clock of ContactAge. Default: clocker.Now.
 	Now func() clocker.Instant
 }
