--- a/connector/connector.go
+++ b/connector/connector.go
@@ -56,6 +56,9 @@
 	// maxMismatchedResponses limits how many responses are skipped: informational (1xx) ones and responses to other
 	// requests.
 	maxMismatchedResponses = 3
+	// maxHeadBytes limits what is read from a connection until the header of the response is complete, including skipped
+	// responses without a body. A target in trouble may send bytes without end.
+	maxHeadBytes = 256 << 10
 	// maxMismatchedBytes limits the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 )
@@ -84,6 +87,9 @@
 	// MatchesResponse reports whether a response header belongs to this request. If it is nil, every
 	// response is accepted.
 	MatchesResponse func(http.Header) bool
+	// Exclusive makes the request use a connection of its own, which is closed after the response. A late copy of the
+	// response to an earlier request cannot be taken for the response then, even if responses carry no identity.
+	Exclusive bool
 }
 
 // UnsentError is returned if no byte of the request was sent.
@@ -145,7 +151,9 @@
 // connection is a persistent connection to the target at address.
 type connection struct {
 	net.Conn
+	// reader buffers what limiter lets through.
 	reader  *bufio.Reader
+	limiter *headLimiter
 	address netip.AddrPort
 	// idleDeadline is the time from which an idle connection is not reused, since the target may close it.
 	idleDeadline time.Time
@@ -183,7 +191,7 @@
 // closed, so that the target can cancel the request.
 func (c *Connector) Send(ctx context.Context, address netip.AddrPort, request Request) (response *Response, err error) {
 	defer Error.WrapP(&err)
-	conn, err := c.acquire(ctx, address)
+	conn, err := c.acquire(ctx, address, request.Exclusive)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
@@ -198,16 +206,16 @@
 	response = &Response{
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
 		connector: c, connection: conn, writeResult: writeResult, cancelAfterFunc: cancelAfterFunc,
-		keepAlive: !head.Close,
+		keepAlive: !head.Close && !request.Exclusive,
 	}
 	response.Body = &bodyReader{response: response}
 	conn.idleTimeout = parseIdleTimeout(head.Header, c.settings.IdleTimeout)
 	return response, nil
 }
 
-// acquire returns a reusable idle connection, or else a new one.
-func (c *Connector) acquire(ctx context.Context, address netip.AddrPort) (conn *connection, err error) {
-	for {
+// acquire returns a reusable idle connection unless fresh is set, or else a new one.
+func (c *Connector) acquire(ctx context.Context, address netip.AddrPort, fresh bool) (conn *connection, err error) {
+	for !fresh {
 		conn := c.popIdle(address)
 		if conn == nil {
 			break
@@ -221,7 +229,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), address: address}, nil
+	limiter := &headLimiter{reader: opened}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address}, nil
+}
+
+// headLimiter limits what is read until a header is complete. The size of a body is limited by whoever reads it.
+type headLimiter struct {
+	reader io.Reader
+	// inHead is set while a header is read, of which left bytes may still come.
+	inHead bool
+	left   int
+}
+
+// HeadTooLargeError is returned if a target sends more than maxHeadBytes without completing the header of a response.
+type HeadTooLargeError struct{}
+
+// Error says so.
+func (*HeadTooLargeError) Error() string { return "the header of the response exceeds the size limit" }
+
+// Read reads from the connection, within the limit of a header.
+func (l *headLimiter) Read(p []byte) (n int, err error) {
+	if !l.inHead {
+		return l.reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, &HeadTooLargeError{}
+	}
+	n, err = l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 func (c *Connector) popIdle(address netip.AddrPort) *connection {
@@ -272,11 +308,14 @@
 // readResponse reads the header of the response. It skips informational (1xx) responses and responses to
 // other requests.
 func (c *connection) readResponse(request Request) (response *http.Response, err error) {
+	c.limiter.left = maxHeadBytes
 	for range maxMismatchedResponses + 1 {
+		c.limiter.inHead = true
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
+		c.limiter.inHead = false
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
