supervisor: background loops go on after a panic

Cause: conc.WaitGroup holds a panic back until Wait. An unexpected error in one round (a datagram, an item of the store, an engine's events) therefore ended that loop silently: the daemon went on without peers, with an old configuration, or holding the update lock without doing anything. Change: the loops of broadcaster, follower, leaser, upgrader, poller and the idle check are called again after a panic, which is logged with its stack and counted (rill_panics). TestReceptionGoesOnAfterPanic and TestFollowerGoesOnAfterPanic were written with it; before, both loops ended.

--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -76,7 +77,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	e.group.Go(func() { e.closeIdle(ctx) })
+	e.group.Go(func() { supervisor.Run(ctx, d.logger, "close idle", e.closeIdle) })
 	return e, nil
 }
 
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 )
 
 // createObserver creates the daemon's observer for logs, metrics and traces, and the logger.
@@ -49,6 +50,7 @@
 		{"rill_targets", "Targets that are not leaving.", func() int64 { return int64(len(v.placer.Targets())) }},
 		{"rill_peers", "Other daemons that are registered, or that were heard of lately if these are more.", func() int64 { return int64(d.broadcaster.PeerCount()) }},
 		{"rill_open_requests", "Requests that are open.", func() int64 { return d.edge.openRequests.Load() }},
+		{"rill_panics", "Panics of background tasks since the start.", supervisor.Panics},
 		{"rill_log_lines_dropped", "Log lines that found no room.", d.logWriter.Dropped},
 	} {
 		group.Add(metrics.Gauge(gauge.name, gauge.description, gauge.read))
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -30,6 +30,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 )
 
 // Error is the class of all errors of this package.
@@ -78,8 +79,8 @@
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
-	b.tasks.Go(func() { b.sendLoop(ctx) })
-	b.tasks.Go(b.receiveLoop)
+	b.tasks.Go(func() { supervisor.Run(ctx, settings.Logger, "send", b.sendLoop) })
+	b.tasks.Go(func() { supervisor.Run(ctx, settings.Logger, "receive", b.receiveLoop) })
 	return b, nil
 }
 
@@ -129,7 +130,7 @@
 	}
 }
 
-func (b *Broadcaster) receiveLoop() {
+func (b *Broadcaster) receiveLoop(context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := b.socket.ReadFromUDPAddrPort(buffer)
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -134,6 +134,43 @@
 	}
 }
 
+// panickingState panics at the first message that it imports.
+type panickingState struct {
+	fakeState
+	panicked bool
+}
+
+func (s *panickingState) Import(peer string, update placer.PeerUpdate) {
+	if !s.panicked {
+		s.panicked = true
+		panic("unexpected message")
+	}
+	s.fakeState.Import(peer, update)
+}
+
+// An unexpected error while one message is processed must neither end the process nor the reception of further messages.
+func TestReceptionGoesOnAfterPanic(t *testing.T) {
+	to := &panickingState{}
+	address := freeAddress(t)
+	b, err := broadcaster.New(broadcaster.Settings{Listen: address, Name: "to", DataCentre: "north", State: to, Logger: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = b.Close() }()
+	socket, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	for range 100 {
+		if _, err := socket.Write([]byte{0x0a, 0x01, 'x'}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	to.awaitMessages(t, 1)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x0a, 0x01, 'x', 0x12, 0x02, 0x08, 0x01})
 	f.Fuzz(func(t *testing.T, message []byte) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -20,6 +20,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -97,7 +98,7 @@
 // Start lists and watches the prefix until Close or the end of ctx.
 func (f *Follower) Start(ctx context.Context) {
 	ctx, f.cancel = context.WithCancel(ctx)
-	f.tasks.Go(func() { f.run(ctx) })
+	f.tasks.Go(func() { supervisor.Run(ctx, f.settings.Logger, "follow "+f.settings.Prefix, f.run) })
 }
 
 // Close stops the watch and waits for its end.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -213,3 +213,48 @@
 		}
 	})
 }
+
+// panickingSink panics at the first events that it gets.
+type panickingSink struct {
+	mu       sync.Mutex
+	panicked bool
+	resets   int
+}
+
+func (s *panickingSink) Reset([]storer.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets++
+}
+
+func (s *panickingSink) HandleEvents([]storer.Event, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.panicked {
+		s.panicked = true
+		panic("unexpected item")
+	}
+}
+
+// An unexpected error while events are applied must not end the follower, whose copy would silently become old. It lists
+// the prefix again.
+func TestFollowerGoesOnAfterPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &store{revision: 1, changes: make(chan storer.Events, 1)}
+		sink := &panickingSink{}
+		f := follower.New(follower.Settings{
+			Store: fake, Prefix: "a/", Sink: sink, Wait: time.Second,
+			Now: func() clocker.Instant { return clocker.Instant(time.Now().UnixNano()) },
+		})
+		f.Start(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		fake.changes <- storer.Events{Revision: 2, Events: []storer.Event{{Kind: storer.EventPut, Item: storer.Item{Key: "a/1", Version: 2}}}}
+		time.Sleep(5 * time.Second)
+		if age := f.ContactAge(); age > 2*time.Second || sink.resets != 2 {
+			t.Errorf("after a panic the copy was listed %d times and its contact is %s old", sink.resets, age)
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -28,6 +28,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -105,7 +106,7 @@
 // Start acquires and renews the lease until Close or the end of ctx.
 func (l *Leaser) Start(ctx context.Context) {
 	ctx, l.cancel = context.WithCancel(ctx)
-	l.tasks.Go(func() { l.run(ctx) })
+	l.tasks.Go(func() { supervisor.Run(ctx, l.settings.Logger, "renew", l.run) })
 }
 
 // Close stops the renewals, waits for the pending calls to the store and revokes the lease if it is still held. If the
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -67,6 +69,8 @@
 	// EventInterval is the pause between two polls of an engine, with ±20 % jitter; 500 ms by
 	// default. It doubles up to 5 s while an engine fails or has no events.
 	EventInterval time.Duration
+	// Logger logs panics of a poll loop, which goes on after them. Default: no log.
+	Logger *slog.Logger
 }
 
 func (s Settings[E]) withDefaults() Settings[E] {
@@ -76,6 +80,9 @@
 	if s.EventInterval == 0 {
 		s.EventInterval = defaultEventInterval
 	}
+	if s.Logger == nil {
+		s.Logger = slog.New(slog.DiscardHandler)
+	}
 	if s.Assigned == nil {
 		s.Assigned = func(string) bool { return true }
 	}
@@ -139,7 +146,9 @@
 func (p *Poller[E]) startLoop(target Target) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	p.cancels[target] = cancel
-	p.pollLoops.Go(func() { p.pollEvents(ctx, target) })
+	p.pollLoops.Go(func() {
+		supervisor.Run(ctx, p.settings.Logger, "poll "+target.Name, func(ctx context.Context) { p.pollEvents(ctx, target) })
+	})
 }
 
 func (p *Poller[E]) pollEvents(ctx context.Context, target Target) {
--- a/runner/targets.go
+++ b/runner/targets.go
@@ -36,7 +36,7 @@
 		Liveness:   d.liveness,
 		Log:        d.observer.Log("pooler"),
 	})
-	d.poller = poller.New(poller.Settings[forwarder.CacheEvents]{Engines: d.targetClient, Observer: d.pools, Assigned: d.assigned})
+	d.poller = poller.New(poller.Settings[forwarder.CacheEvents]{Engines: d.targetClient, Observer: d.pools, Assigned: d.assigned, Logger: d.observer.Log("poller")})
 	return nil
 }
 
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -25,6 +25,7 @@
 	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 )
 
 const (
@@ -229,7 +230,7 @@
 // and updates the engines while it holds the lock.
 func (u *Upgrader) Start(ctx context.Context) {
 	ctx, u.cancel = context.WithCancel(ctx)
-	u.tasks.Go(func() { u.run(ctx) })
+	u.tasks.Go(func() { supervisor.Run(ctx, u.settings.Logger, "upgrade", u.run) })
 }
 
 // Close stops the updates, waits until their calls have returned and releases the update lock.
@@ -320,7 +321,9 @@
 		return
 	}
 	for _, candidate := range u.startUpdates() {
-		u.updates.Go(func() { u.updateEngine(ctx, candidate) })
+		u.updates.Go(func() {
+			supervisor.Try(ctx, u.settings.Logger, "update engine", func(ctx context.Context) { u.updateEngine(ctx, candidate) })
+		})
 	}
 	u.announcePlan()
 }
