broadcaster, repeater, placer: large links come first, and less goes over small ones

An aggregator sends each part that any daemon announces to all others of its data centre; after new weights these were megabytes at once. A reader whose store had forgotten its history made all others list the keys through it. Change: daemons are ranked by the bandwidth of their links first (hosted.link_megabits, told in the presence entry), so that aggregators and readers are on the hosts with large ones. Beyond 16 daemons only shared parts are announced. A copy that is listed again tells differences only.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -193,7 +193,8 @@
 	d.view.upgrader = d.coordination.upgrader
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
-		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre, State: d.view, Logger: d.loggerFor("broadcaster"),
+		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre,
+		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
@@ -258,7 +259,9 @@
 	ttl := d.settings.Hosted.LeaseTime * 2 / 3
 	presence := leaser.New(leaser.Settings{
 		Store: d.store, TTL: presenceTTL, Logger: d.loggerFor("leaser"),
-		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(d.settings.PeersAdvertise, d.settings.DataCentre),
+		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(tracker.Peer{
+			Address: d.settings.PeersAdvertise, DataCentre: d.settings.DataCentre, LinkMegabits: d.settings.Hosted.LinkMegabits,
+		}),
 	})
 	lease := leaser.New(leaser.Settings{
 		Store: d.store, TTL: ttl, RenewalInterval: func() time.Duration { return d.renewalInterval(ttl) }, Logger: d.loggerFor("leaser"),
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -103,7 +103,7 @@
 }
 
 func broadcastPeer(peer tracker.Peer) broadcaster.Peer {
-	return broadcaster.Peer{Name: strings.TrimPrefix(peer.Key, hostsPrefix), Address: peer.Address, DataCentre: peer.DataCentre}
+	return broadcaster.Peer{Name: strings.TrimPrefix(peer.Key, hostsPrefix), Address: peer.Address, DataCentre: peer.DataCentre, LinkMegabits: peer.LinkMegabits}
 }
 
 // isAssigned reports whether this daemon polls the named engine or cache store. The daemon with the highest
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -21,7 +21,7 @@
 
 // sharedStore lets the daemons of a data centre read the store through each other.
 type sharedStore struct {
-	name   string
+	self   repeater.Daemon
 	reader *repeater.Reader
 	client *repeater.Client
 	copies map[string]*repeater.Copy
@@ -37,7 +37,8 @@
 
 func (d *Daemon) newSharedStore() *sharedStore {
 	s := &sharedStore{
-		name: d.settings.Name, client: repeater.NewClient(), copies: make(map[string]*repeater.Copy),
+		self:   repeater.Daemon{Name: d.settings.Name, LinkMegabits: d.settings.Hosted.LinkMegabits},
+		client: repeater.NewClient(), copies: make(map[string]*repeater.Copy),
 		logger: d.loggerFor("repeater"), alive: d.broadcaster.Alive,
 	}
 	s.reader = repeater.NewReader(repeater.ReaderSettings{
@@ -112,9 +113,9 @@
 	var daemons []repeater.Daemon
 	for _, peer := range s.localPeers() {
 		byName[peer.Name] = peer
-		daemons = append(daemons, repeater.Daemon{Name: peer.Name, Address: peer.Address})
+		daemons = append(daemons, repeater.Daemon{Name: peer.Name, Address: peer.Address, LinkMegabits: peer.LinkMegabits})
 	}
-	return repeater.Sources(s.name, daemons, func(d repeater.Daemon) bool { return s.alive(byName[d.Name]) })
+	return repeater.Sources(s.self, daemons, func(d repeater.Daemon) bool { return s.alive(byName[d.Name]) })
 }
 
 // close ends the calls from and to other daemons.
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -5,7 +5,7 @@
 // theirs to an aggregator, so that the datagrams of a daemon do not grow with the number of data centres. The aggregator
 // adds the loads up, exchanges the sums with the aggregators of the other data centres, and sends the sum of all to the
 // daemons of its own. It is the first daemon of its data centre that is alive, in an order that all daemons compute from
-// the names. No lease is needed: while two daemons act as aggregators, each serves those that report to it.
+// the bandwidths of the links and the names. No lease is needed: while two daemons act as aggregators, each serves those that report to it.
 //
 // Datagrams may be lost. Each one contains the whole load, so the next one replaces a lost one. A change of the
 // prompt parts that a target caches (see placer.Holding) is sent only once. If that datagram is lost, a peer may miss a
@@ -52,8 +52,10 @@
 	Listen     netip.AddrPort
 	Name       string
 	DataCentre string
-	State      State
-	Logger     *slog.Logger
+	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
+	LinkMegabits float64
+	State        State
+	Logger       *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, State: settings.State, Now: time.Now})
+	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, Now: time.Now})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -46,8 +46,10 @@
 type ExchangeSettings struct {
 	Name       string
 	DataCentre string
-	State      State
-	Now        func() time.Time
+	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
+	LinkMegabits float64
+	State        State
+	Now          func() time.Time
 }
 
 // Exchange decides what a daemon sends to which others, and processes what it receives. It does no network I/O, and its
@@ -77,7 +79,7 @@
 
 // NewExchange returns an Exchange without peers.
 func NewExchange(settings ExchangeSettings) *Exchange {
-	self := Peer{Name: settings.Name, DataCentre: settings.DataCentre}
+	self := Peer{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits}
 	return &Exchange{
 		settings: settings, self: self, started: settings.Now(), topology: newTopology(self, nil), aggregate: newAggregate(),
 		heard: make(map[string]time.Time), listed: make(map[uint64]time.Time), remoteHeard: make(map[string]time.Time),
@@ -283,7 +285,7 @@
 	for _, hash := range message.Members {
 		e.listed[hash] = now
 	}
-	sender := Peer{Name: message.Sender}
+	sender := e.topology.localPeer(message.Sender)
 	if now.Sub(e.aggregatorAt) <= aggregatorTimeout && compareRanks(e.aggregator, sender) < 0 || message.Update.LoadsOmitted {
 		return
 	}
--- a/broadcaster/topology.go
+++ b/broadcaster/topology.go
@@ -14,14 +14,17 @@
 	Name       string
 	Address    netip.AddrPort
 	DataCentre string
+	// LinkMegabits is the bandwidth of the daemon's link in Mbit/s.
+	LinkMegabits float64
 }
 
-// rank returns the position of a daemon among those of its data centre; the lowest one comes first. All daemons compute
-// the same ranks.
+// rank orders daemons with the same bandwidth.
 func (p Peer) rank() uint64 { return xxh3.HashString("aggregator " + p.Name) }
 
+// compareRanks orders the daemons of a data centre, in the same way at all daemons. The largest link comes first, since an
+// aggregator sends as much as all others of its data centre together.
 func compareRanks(a, b Peer) int {
-	return cmp.Or(cmp.Compare(a.rank(), b.rank()), strings.Compare(a.Name, b.Name))
+	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(a.rank(), b.rank()), strings.Compare(a.Name, b.Name))
 }
 
 // topology is the set of daemons, by data centre and rank.
@@ -56,6 +59,16 @@
 // dataCentreOf returns the data centre of a daemon of another one, or the empty string if the daemon is not known.
 func (t *topology) dataCentreOf(name string) string { return t.remoteOf[name] }
 
+// localPeer returns the daemon of the own data centre with a name, or one with the name alone if it is not known.
+func (t *topology) localPeer(name string) Peer {
+	for _, daemon := range t.local {
+		if daemon.Name == name {
+			return daemon
+		}
+	}
+	return Peer{Name: name}
+}
+
 // aggregated reports whether there are too many daemons for each to send to every other.
 func (t *topology) aggregated() bool { return t.peerCount > maxDirectPeers }
 
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -135,6 +135,8 @@
 			func(s *Settings) *netip.AddrPort { return &s.Hosted.MetricsListen }),
 		boundField("memory_bytes", "Memory available to the process, in bytes.",
 			func(s *Settings) *float64 { return &s.Hosted.MemoryBytes }),
+		boundField("link_megabits", "Bandwidth of the host's link in Mbit/s; 0 if it is not known. The daemons with the largest links of a data centre combine and read for the others.",
+			func(s *Settings) *float64 { return &s.Hosted.LinkMegabits }),
 		spanField("stop_bound", "Time from the stop signal until the process is killed.",
 			func(s *Settings) *time.Duration { return &s.Hosted.StopBound }),
 		spanField("key_revocation", "Maximum time from the revocation of a key until no daemon accepts it.",
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -109,6 +109,8 @@
 	MetricsListen netip.AddrPort
 	// MemoryBytes is the memory that is available to the process.
 	MemoryBytes float64
+	// LinkMegabits is the bandwidth of the host's link in Mbit/s; zero if it is not known.
+	LinkMegabits float64
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
 	// KeyRevocation is the maximum time from the revocation of a key until no daemon accepts it.
--- a/loader/template_test.go
+++ b/loader/template_test.go
@@ -56,7 +56,7 @@
 // those of parts that are not in force. The daemon must start with all of these.
 func TestTemplateAcceptsWhatThePlatformCanGive(t *testing.T) {
 	bounds := []string{
-		"limits.memoryMb", "bounds.graceS", "bounds.revokeMs", "bounds.versionMs", "bounds.leaseMs",
+		"limits.memoryMb", "limits.linkMbps", "bounds.graceS", "bounds.revokeMs", "bounds.versionMs", "bounds.leaseMs",
 		"bounds.retryBudgetRatio", "bounds.retryBudgetSlack",
 	}
 	for _, value := range []string{"", "0", "0.0", "1", "35.83", "4096", "12000.5"} {
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -95,7 +95,9 @@
 	}
 	key ^= partKey(p.unsharedPartSeed)
 	t.cached.put(key, tokens, capacity)
-	p.announce(t.hash, key, tokens)
+	if p.announcesUnshared() {
+		p.announce(t.hash, key, tokens)
+	}
 }
 
 // cacheCapacity returns the number of tokens of parts that an engine is expected to keep at most.
--- a/placer/chain_test.go
+++ b/placer/chain_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 }
+
+// In a large fleet each daemon gets what all others announce, over links of some Mbit/s. Only parts that several calls share
+// are announced, when they are placed and when engines report that they are gone.
+func TestLargeFleetsAnnounceOnlySharedParts(t *testing.T) {
+	for _, fleet := range []struct{ daemons, holdings int }{{7, 2}, {200, 1}} {
+		f := newFixture(t, 1)
+		f.placer.SetDaemonCount(fleet.daemons)
+		f.choose(longCall("book"))
+		if update := f.placer.Export(); len(update.Holdings) != fleet.holdings {
+			t.Errorf("%d daemons: a call announces %d parts, want %d", fleet.daemons, len(update.Holdings), fleet.holdings)
+		}
+		book, own := placer.PartKey(model, "", 1, "book"), placer.PartKey(model, "", 1, "own")
+		f.placer.ObserveCache("e0", placer.CacheEvents{Changes: []placer.CacheChange{{Key: own, Tokens: 1_000}, {Key: book, Tokens: 0}}})
+		if update := f.placer.Export(); len(update.Holdings) != fleet.holdings {
+			t.Errorf("%d daemons: cache events of a shared part and of another one announce %+v", fleet.daemons, update.Holdings)
+		}
+	}
+}
--- a/placer/events.go
+++ b/placer/events.go
@@ -54,7 +54,8 @@
 		}
 		cached.put(key, tokens, capacity)
 		cached.setAvailableAt(key, time.Time{})
-		if before != tokens {
+		// A part that no daemon has announced before belongs to one call.
+		if before != tokens && (before > 0 || p.announcesUnshared()) {
 			p.announce(holderHash, key, tokens)
 		}
 	}
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -106,6 +106,9 @@
 	// minSharedTokens is the size of the smallest shared part that is announced to peers when a target begins or
 	// ceases to hold it. Reading a smaller part again takes less time than fetching it.
 	minSharedTokens = 128
+	// maxUnsharedAnnouncers is the number of daemons up to which parts that belong to one call are announced too, so that
+	// peers know when they push others out of a cache. In larger fleets the cache events of engines have to do.
+	maxUnsharedAnnouncers = 16
 	// maxPendingHoldings bounds the parts that wait to be announced. Further ones are not announced.
 	maxPendingHoldings = 512
 )
@@ -226,6 +229,9 @@
 	}
 }
 
+// announcesUnshared reports whether parts that belong to one call are announced.
+func (p *Placer) announcesUnshared() bool { return p.daemonCount() <= maxUnsharedAnnouncers }
+
 // TargetID returns the id of the target whose current incarnation has the hash. known is false if there is none.
 func (p *Placer) TargetID(hash TargetHash) (id string, known bool) {
 	p.mu.Lock()
--- a/repeater/copy.go
+++ b/repeater/copy.go
@@ -36,6 +36,10 @@
 	// deletions are the last deleted keys, oldest first, and horizon is the revision of the newest forgotten one.
 	deletions []storer.Item
 	horizon   storer.Version
+	// missing are the keys that the last Reset did not contain, until Confirm.
+	missing []string
+	// reset is set from a Reset until Confirm.
+	reset bool
 	// All changes up to revision are known. The store confirmed this for the time contact.
 	revision storer.Version
 	contact  clocker.Instant
@@ -62,16 +66,21 @@
 	return &Copy{settings: settings, items: make(map[string]copiedItem), changed: make(chan struct{})}
 }
 
-// Reset replaces all items. Readers that have not seen the items before it have to list the keys, since it is not known
-// what was deleted meanwhile.
+// Reset replaces all items. Items that are missing count as deleted at the revision that the next Confirm names.
 func (c *Copy) Reset(items []storer.Item, afterOutage bool) {
 	c.settings.Sink.Reset(items, afterOutage)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.items, c.deletions = make(map[string]copiedItem, len(items)), nil
-	c.revision, c.contact = 0, 0 // Until Confirm.
+	present := make(map[string]bool, len(items))
 	for _, item := range items {
-		c.items[item.Key] = copiedItem{Item: item, changedAt: item.Version}
+		present[item.Key] = true
+		c.put(item)
+	}
+	c.missing, c.reset = nil, true
+	for key := range c.items {
+		if !present[key] {
+			c.missing = append(c.missing, key)
+		}
 	}
 }
 
@@ -101,9 +110,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.contact == 0 {
-		c.horizon = revision // Reset has forgotten what was deleted before.
+		c.horizon = revision // It is not known what was deleted before.
+	}
+	if c.contact == 0 || c.reset {
 		c.wake()
 	}
+	for _, key := range c.missing {
+		c.remove(storer.Item{Key: key, Version: revision})
+	}
+	c.missing, c.reset = nil, false
 	c.revision, c.contact = max(c.revision, revision), max(c.contact, contact)
 }
 
--- a/repeater/rank.go
+++ b/repeater/rank.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/zeebo/xxh3"
 )
@@ -16,24 +17,30 @@
 type Daemon struct {
 	Name    string
 	Address netip.AddrPort
+	// LinkMegabits is the bandwidth of the daemon's link in Mbit/s.
+	LinkMegabits float64
 }
 
 func (d Daemon) rank() uint64 { return xxh3.HashString("store reader " + d.Name) }
 
+// compareRanks orders the daemons of a data centre, in the same way at all daemons. The largest link comes first.
+func compareRanks(a, b Daemon) int {
+	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(a.rank(), b.rank()), strings.Compare(a.Name, b.Name))
+}
+
 // Sources returns the daemons from which a daemon may read, best first: those that rank before it. The first daemon of
 // a data centre has none and reads the store. If there are fewer than MinDaemons, there are none either.
-func Sources(self string, peers []Daemon, alive func(Daemon) bool) (sources []netip.AddrPort) {
+func Sources(self Daemon, peers []Daemon, alive func(Daemon) bool) (sources []netip.AddrPort) {
 	if len(peers)+1 < MinDaemons {
 		return nil
 	}
-	own := Daemon{Name: self}.rank()
 	var before []Daemon
 	for _, peer := range peers {
-		if peer.rank() < own && alive(peer) {
+		if compareRanks(peer, self) < 0 && alive(peer) {
 			before = append(before, peer)
 		}
 	}
-	slices.SortFunc(before, func(a, b Daemon) int { return cmp.Compare(a.rank(), b.rank()) })
+	slices.SortFunc(before, compareRanks)
 	for _, peer := range before {
 		sources = append(sources, peer.Address)
 	}
--- a/repeater/repeater_test.go
+++ b/repeater/repeater_test.go
@@ -395,6 +395,23 @@
 	}
 }
 
+// The store has forgotten its history, so the copy is listed again. Readers get only what differs, and need not list the
+// keys themselves.
+func TestListedAgainTellsOnlyDifferences(t *testing.T) {
+	items := repeater.NewCopy(repeater.CopySettings{Sink: discard{}})
+	items.Reset([]storer.Item{{Key: "a", Value: []byte("1"), Version: 5}, {Key: "b", Value: []byte("1"), Version: 7}}, false)
+	items.Confirm(10, clocker.Now())
+	items.Reset([]storer.Item{{Key: "a", Value: []byte("1"), Version: 5}, {Key: "c", Value: []byte("1"), Version: 15}}, false)
+	items.Confirm(20, clocker.Now())
+	events, err := items.Watch(t.Context(), 10, 0)
+	if err != nil || events.Compacted || events.Revision != 20 || !slices.Equal(keysOf(events), []string{"+c1", "-b"}) {
+		t.Errorf("got %v, %+v, %v", keysOf(events), events, err)
+	}
+	if events, err := items.Watch(t.Context(), 0, 0); err != nil || !slices.Equal(keysOf(events), []string{"+a1", "+c1"}) {
+		t.Errorf("a list gives %v, %v", keysOf(events), err)
+	}
+}
+
 // More keys are deleted than a copy remembers. A reader that has missed some of them must list the keys again.
 func TestForgottenDeletionsCountAsCompacted(t *testing.T) {
 	items := repeater.NewCopy(repeater.CopySettings{Sink: discard{}})
@@ -446,20 +463,22 @@
 	for i := range 40 {
 		daemons = append(daemons, repeater.Daemon{Name: fmt.Sprint("d", i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)})
 	}
+	daemons[17].LinkMegabits = 200
 	everybody := func(repeater.Daemon) bool { return true }
 	readers := make(map[netip.AddrPort]int)
 	for i, self := range daemons {
 		peers := slices.Delete(slices.Clone(daemons), i, i+1)
-		sources := repeater.Sources(self.Name, peers, everybody)
+		sources := repeater.Sources(self, peers, everybody)
 		if len(sources) == 0 {
 			sources = []netip.AddrPort{self.Address}
 		}
 		readers[sources[0]]++
 	}
-	if len(readers) != 1 {
+	reader := daemons[17].Address // The only one with a large link.
+	if len(readers) != 1 || readers[reader] == 0 {
 		t.Errorf("daemons read from %v", readers)
 	}
-	if sources := repeater.Sources("a", daemons[:repeater.MinDaemons-2], everybody); sources != nil {
+	if sources := repeater.Sources(repeater.Daemon{Name: "a"}, daemons[:repeater.MinDaemons-2], everybody); sources != nil {
 		t.Errorf("a small data centre reads through %v", sources)
 	}
 }
--- a/tracker/peers.go
+++ b/tracker/peers.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -15,11 +16,14 @@
 	Key        string
 	Address    netip.AddrPort
 	DataCentre string
+	// LinkMegabits is the bandwidth of the host's link in Mbit/s; zero if it is not known.
+	LinkMegabits float64
 }
 
-// EncodePeer encodes the entry that a daemon writes about itself.
-func EncodePeer(address netip.AddrPort, dataCentre string) []byte {
-	return []byte(address.String() + " " + dataCentre)
+// EncodePeer encodes the entry that a daemon writes about itself: its address, its data centre and the bandwidth of its
+// host's link.
+func EncodePeer(peer Peer) []byte {
+	return []byte(peer.Address.String() + " " + peer.DataCentre + " " + strconv.FormatFloat(peer.LinkMegabits, 'f', -1, 64))
 }
 
 // PeerTrackerSettings are the parameters of a PeerTracker.
@@ -74,13 +78,15 @@
 }
 
 func (p *PeerTracker) put(item storer.Item) {
-	text, dataCentre, _ := strings.Cut(string(item.Value), " ")
+	text, rest, _ := strings.Cut(string(item.Value), " ")
+	dataCentre, link, _ := strings.Cut(rest, " ")
+	megabits, _ := strconv.ParseFloat(link, 64) // An entry without it is that of an older daemon.
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		p.settings.Logger.Warn("invalid entry of a daemon ignored", "key", item.Key, "error", err)
 		return
 	}
-	p.known[item.Key] = Peer{Key: item.Key, Address: address, DataCentre: dataCentre}
+	p.known[item.Key] = Peer{Key: item.Key, Address: address, DataCentre: dataCentre, LinkMegabits: megabits}
 }
 
 func (p *PeerTracker) publish() {
