upgrader: the next holder prepares updates within the take-over delay

Each next one began to drain engines only after its take-over delay, at its next step, which comes every 0.4 s: up to 0.75 s lost each time. The last two engines were ready 0.5 s late. When it may order is unchanged. TestNextHolderOrdersWhenTakeOverDelayEnds was red (4.75 s) and is green.

--- a/upgrader/lock.go
+++ b/upgrader/lock.go
@@ -37,6 +37,23 @@
 	return held && lease == u.lease && u.fencingToken != 0 && !u.settings.Now().Before(u.ordersFrom)
 }
 
+// holdsValidLock reports whether this daemon holds the update lock under a valid lease. Before ordersFrom it may prepare
+// updates, but sends no order.
+func (u *Upgrader) holdsValidLock() bool {
+	lease, held := u.settings.Lease.Held()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return held && lease == u.lease && u.fencingToken != 0
+}
+
+// untilPreparation returns the time until this daemon, as the holder of the update lock, begins to prepare updates, so
+// that engines are drained when its first order is allowed.
+func (u *Upgrader) untilPreparation() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ordersFrom.Sub(u.settings.Now()) - drainDelay
+}
+
 // heldByOther reports whether another daemon holds the update lock, so that this one needs no lease.
 func (u *Upgrader) heldByOther() bool {
 	u.mu.Lock()
--- a/upgrader/update.go
+++ b/upgrader/update.go
@@ -98,7 +98,7 @@
 		if err == nil {
 			failures = 0
 		}
-		if !u.isActiveHolder() {
+		if !u.holdsValidLock() {
 			return 0, "duty lost"
 		}
 		if !waiter.Sleep(ctx, pause) {
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -298,6 +298,9 @@
 }
 
 func (u *Upgrader) interval() time.Duration {
+	if wait := u.untilPreparation(); u.HoldsLock() && wait > 0 {
+		return min(wait, idleInterval)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(u.upgrading) > 0 {
@@ -317,7 +320,7 @@
 	if u.heldByOther() {
 		u.settings.Lease.SetWanted(false)
 	}
-	if !u.isActiveHolder() {
+	if !u.holdsValidLock() || u.untilPreparation() > 0 {
 		return
 	}
 	for _, candidate := range u.startUpdates() {
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -476,6 +476,35 @@
 	}, "a", "b", "c")
 }
 
+// Successive holders are suspended, so each next one waits out the take-over delay. What has to happen before its first order
+// has to be done within that delay: engines are drained and asked for their reports, so that the order goes out as soon as
+// it is allowed.
+func TestNextHolderOrdersWhenTakeOverDelayEnds(t *testing.T) {
+	// longestAcquisition is the longest time for which a daemon leaves a free lock, and callTime that of its calls.
+	const longestAcquisition, callTime = 520 * time.Millisecond, 100 * time.Millisecond
+	for range 20 {
+		runInVirtualTime(t, 18, func(f *fleet) {
+			f.setWanted(2)
+			time.Sleep(time.Second)
+			first := f.holder()
+			f.isolate(first)
+			isolatedAt := time.Now()
+			time.Sleep(leaseTTL)
+			f.expireLease(first)
+			time.Sleep(4 * time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			at := slices.IndexFunc(f.orders, func(order receivedOrder) bool { return order.holder != first })
+			if at < 0 {
+				t.Fatal("the next holder sent no order")
+			}
+			if after := f.orders[at].at.Sub(isolatedAt); after > takeOverDelay+upgrader.MaxOrderLeaseAge+longestAcquisition+callTime {
+				t.Errorf("the next holder sent its first order %s after the former one was isolated", after)
+			}
+		}, "a", "b", "c")
+	}
+}
+
 // If the answer to the commit that acquires the update lock is lost, the daemon recognises its own write in the
 // store's events.
 func TestLostAnswerToLockAcquisition(t *testing.T) {
