--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -260,6 +260,22 @@
 	}
 }
 
+// Only daemons that send something count as alive, since the others take over the work of those that do not.
+func TestSilentDaemonDoesNotCountAsAlive(t *testing.T) {
+	f := newSimulatedFleet(7, 3)
+	f.run(t, time.Second)
+	f.daemons[3].stopped = true
+	if d := f.daemons[0]; !d.Alive(f.daemons[3].peer) || d.Alive(broadcaster.Peer{Name: "nobody"}) {
+		t.Error("a daemon that has just sent a message does not count as alive, or one that never sent any does")
+	}
+	f.run(t, 5*time.Second)
+	for _, other := range f.daemons[1:] {
+		if f.daemons[0].Alive(other.peer) == other.stopped {
+			t.Errorf("%s counts as alive: %t, stopped for 5 s: %t", other.peer.Name, !other.stopped, other.stopped)
+		}
+	}
+}
+
 // A data centre is cut off from the others, and later it is not any more.
 func TestCutOffDataCentreGoesOnAlone(t *testing.T) {
 	f := newSimulatedFleet(200, 5)
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -449,6 +449,15 @@
 	}, "a", "b", "c")
 }
 
+// suspendHolder cuts the holder off until its lease has ended, and returns its name and when it was cut off.
+func (f *fleet) suspendHolder() (name string, at time.Time) {
+	name, at = f.holder(), time.Now()
+	f.isolate(name)
+	time.Sleep(leaseTTL)
+	f.expireLease(name)
+	return name, at
+}
+
 // The take-over delay counts from the former holder's last order. If the next holder waited for a whole delay after
 // the deletion of the lock's key, the engines would not load new weights in time when two successive holders of the
 // update lock are suspended.
@@ -456,11 +465,7 @@
 	runInVirtualTime(t, 18, func(f *fleet) {
 		f.setWanted(2)
 		time.Sleep(time.Second)
-		first := f.holder()
-		f.isolate(first)
-		isolatedAt := time.Now()
-		time.Sleep(leaseTTL)
-		f.expireLease(first)
+		first, isolatedAt := f.suspendHolder()
 		time.Sleep(4 * time.Second)
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -486,11 +491,7 @@
 		runInVirtualTime(t, 18, func(f *fleet) {
 			f.setWanted(2)
 			time.Sleep(time.Second)
-			first := f.holder()
-			f.isolate(first)
-			isolatedAt := time.Now()
-			time.Sleep(leaseTTL)
-			f.expireLease(first)
+			first, isolatedAt := f.suspendHolder()
 			time.Sleep(4 * time.Second)
 			f.mu.Lock()
 			defer f.mu.Unlock()
