--- a/repeater/copy.go
+++ b/repeater/copy.go
@@ -164,7 +164,7 @@
 	defer timer.Stop()
 	for {
 		events, changed, err := c.changesAfter(after)
-		if err != nil || len(events.Events) > 0 || events.Compacted {
+		if err != nil || len(events.Events) > 0 || events.Compacted || wait <= 0 {
 			return events, err
 		}
 		select {
--- a/repeater/repeater_test.go
+++ b/repeater/repeater_test.go
@@ -57,6 +57,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // changesBefore returns the number of changes up to a time.
 func (s *store) changesBefore(at time.Time) (count int) {
 	s.mu.Lock()
@@ -104,11 +110,36 @@
 	address  netip.AddrPort
 	items    *repeater.Copy
 	follower *follower.Follower
-	// stalled is the time until which the daemon answers no call, as if it were suspended.
-	stalled time.Time
 
 	mu    sync.Mutex
 	known storer.Version
+	// stalledUntil is the time until which the daemon answers no call, as if it were suspended, and cutUntil the time
+	// until which it does not reach the store.
+	stalledUntil, cutUntil time.Time
+}
+
+func (d *daemon) stall(duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stalledUntil = time.Now().Add(duration)
+}
+
+func (d *daemon) stalled() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Until(d.stalledUntil)
+}
+
+func (d *daemon) cutOff(duration time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cutUntil = time.Now().Add(duration)
+}
+
+func (d *daemon) isCut() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.cutUntil)
 }
 
 func (d *daemon) Reset(items []storer.Item, _ bool) {
@@ -139,13 +170,12 @@
 type group struct {
 	store   *store
 	daemons []*daemon
-	// delay is how long an answer takes, and cut reports whether a daemon reaches the store.
+	// delay is how long an answer takes.
 	delay func() time.Duration
-	cut   func(d *daemon) bool
 }
 
 func newGroup(count int) *group {
-	g := &group{store: newStore(), delay: func() time.Duration { return time.Millisecond }, cut: func(*daemon) bool { return false }}
+	g := &group{store: newStore(), delay: func() time.Duration { return time.Millisecond }}
 	for i := range count {
 		d := &daemon{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)}
 		d.items = repeater.NewCopy(repeater.CopySettings{Sink: d, Now: instant})
@@ -182,7 +212,7 @@
 // Watch calls another daemon, whose answer takes the delay of the group.
 func (g *group) Watch(ctx context.Context, address netip.AddrPort, _ string, after storer.Version, wait time.Duration) (storer.Events, error) {
 	at := slices.IndexFunc(g.daemons, func(d *daemon) bool { return d.address == address })
-	if !pause(ctx, time.Until(g.daemons[at].stalled)) {
+	if !pause(ctx, g.daemons[at].stalled()) {
 		return storer.Events{}, ctx.Err()
 	}
 	events, err := g.daemons[at].items.Watch(ctx, after, wait)
@@ -199,7 +229,7 @@
 }
 
 func (r *reach) List(ctx context.Context, prefix, after string) (storer.Page, error) {
-	if r.group.cut(r.daemon) {
+	if r.daemon.isCut() {
 		return storer.Page{}, errUnreachable
 	}
 	page, err := r.group.store.List(ctx, prefix, after)
@@ -208,12 +238,12 @@
 }
 
 func (r *reach) Watch(ctx context.Context, prefix string, after storer.Version, wait time.Duration) (storer.Events, error) {
-	if r.group.cut(r.daemon) {
+	if r.daemon.isCut() {
 		return storer.Events{}, errUnreachable
 	}
 	events, err := r.group.store.Watch(ctx, prefix, after, wait)
 	pause(ctx, r.group.delay())
-	if r.group.cut(r.daemon) {
+	if r.daemon.isCut() {
 		return storer.Events{}, errUnreachable
 	}
 	return events, err
@@ -221,6 +251,9 @@
 
 // pause waits, and reports whether ctx is still active.
 func pause(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-time.After(duration):
 		return ctx.Err() == nil
@@ -246,12 +279,6 @@
 				}
 				return time.Millisecond
 			}
-			cutUntil := make(map[*daemon]time.Time)
-			g.cut = func(d *daemon) bool {
-				mu.Lock()
-				defer mu.Unlock()
-				return time.Now().Before(cutUntil[d])
-			}
 			ctx, cancel := context.WithCancel(t.Context())
 			g.start(ctx)
 			for range 100 {
@@ -259,7 +286,7 @@
 				step, victim := random.IntN(8), g.daemons[random.IntN(len(g.daemons))]
 				wait := time.Duration(random.IntN(700)) * time.Millisecond
 				if step == 0 {
-					cutUntil[victim] = time.Now().Add(time.Duration(random.IntN(4000)) * time.Millisecond)
+					victim.cutOff(time.Duration(random.IntN(4000)) * time.Millisecond)
 				}
 				mu.Unlock()
 				if step < 4 {
@@ -290,9 +317,9 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			g.start(ctx)
 			time.Sleep(5 * time.Second)
-			before := g.store.calls
+			before := g.store.callCount()
 			time.Sleep(10 * time.Second)
-			if calls := g.store.calls - before; calls > 20 {
+			if calls := g.store.callCount() - before; calls > 20 {
 				t.Errorf("%d daemons made %d calls in 10 s", count, calls)
 			}
 			g.store.change()
@@ -313,10 +340,11 @@
 func TestContactGoesOnWithoutTheReadingDaemon(t *testing.T) {
 	const bound = 4400 * time.Millisecond
 	for name, harm := range map[string]func(g *group){
-		"suspended": func(g *group) { g.daemons[0].stalled = time.Now().Add(20 * time.Second) },
-		"cut off":   func(g *group) { g.cut = func(d *daemon) bool { return d == g.daemons[0] } },
+		"suspended": func(g *group) { g.daemons[0].stall(20 * time.Second) },
+		"cut off":   func(g *group) { g.daemons[0].cutOff(20 * time.Second) },
 		"both first suspended": func(g *group) {
-			g.daemons[0].stalled, g.daemons[1].stalled = time.Now().Add(20*time.Second), time.Now().Add(20*time.Second)
+			g.daemons[0].stall(20 * time.Second)
+			g.daemons[1].stall(20 * time.Second)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
