--- a/broadcaster/aggregate.go
+++ b/broadcaster/aggregate.go
@@ -112,9 +112,8 @@
 }
 
 // combine returns the message for other data centres, which contains the state of the own data centre, and the one for
-// the members, which contains the state of all daemons. own is the state of this daemon.
+// the members, which contains the state of all daemons. own is the state of this daemon. The caller calls expire before.
 func (a *aggregate) combine(self Peer, own placer.PeerUpdate, now time.Time) (forRemote, forMembers Message) {
-	a.expire(now)
 	a.localNews.add(own)
 	plan := newerPlan(own.UpgradePlan, a.localPlan.current(now))
 	sum := make(workSum)
--- a/repeater/reader.go
+++ b/repeater/reader.go
@@ -9,7 +9,6 @@
 
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/storer"
-	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
 const (
@@ -126,22 +125,13 @@
 }
 
 func (r *Reader) call(ctx context.Context, s *source, address netip.AddrPort, prefix string, after storer.Version, wait time.Duration) (storer.Events, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
 	stop := context.AfterFunc(s.ctx, cancel)
 	defer stop()
-	go cancelAfter(ctx, cancel, wait+callMargin)
 	return r.settings.Peers.Watch(ctx, address, prefix, after, wait)
 }
 
-// cancelAfter cancels a context after a duration unless it has ended before. It replaces context.WithTimeout, whose timer
-// starts a goroutine: the race detector crashes there in tests with virtual time (Go 1.26.8).
-func cancelAfter(ctx context.Context, cancel context.CancelFunc, duration time.Duration) {
-	if waiter.Sleep(ctx, duration) {
-		cancel()
-	}
-}
-
 // source returns the state of a source, and whether it may be asked.
 func (r *Reader) source(address netip.AddrPort) (s *source, usable bool) {
 	r.mu.Lock()
