relayer: a log line for each strike, with the parts of the prompt

The log could not tell which requests were open at a crashed target and which parts they share: the line of a request names the last shared part only, and a strike was not logged. Now each strike has a line with the shared parts, the target and whether the answer had begun.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -22,7 +22,7 @@
 	defer choice.Attempt.Finish()
 	r.sends++
 	r.target, r.version, r.choice = choice.Target.ID, choice.Version, choice
-	r.startTimer = nil
+	r.startTimer, r.firstEventAt = nil, time.Time{}
 	if choice.Version > 0 {
 		timedCtx, timer := newStartTimer(ctx, choice.Attempt)
 		defer timer.release()
@@ -132,6 +132,9 @@
 // recordFirstEvent reports the first event of an attempt to the placer and stops the start timer.
 func (r *relayedRequest) recordFirstEvent(choice placer.Choice) {
 	choice.Attempt.RecordFirstEvent()
+	if r.firstEventAt.IsZero() {
+		r.firstEventAt = time.Now()
+	}
 	if r.startTimer != nil {
 		r.startTimer.stop()
 	}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -53,6 +54,8 @@
 	abort bool
 	// startTimer is the timer of the current attempt; nil for services without a model.
 	startTimer *startTimer
+	// firstEventAt is the time of the first event of the current attempt; zero before it.
+	firstEventAt time.Time
 
 	// The fields below are for logs, traces and metrics.
 	result           string
@@ -250,7 +253,7 @@
 		return unavailable(ReasonShed, shedRetryAfter)
 	}
 	if result == broken {
-		r.relayer.recordStrike(r.fingerprint(), choice.Target)
+		r.recordStrike(choice.Target)
 	}
 	mayRetry := r.route.Retryable() && r.runs < r.route.MaxAttempts && r.sends < maxSends
 	if mayRetry && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
@@ -323,6 +326,14 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
+// sharedPartIDs returns the ids of the parts that other requests may share.
+func sharedPartIDs(prompt Prompt) (ids []string) {
+	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // sharedTokensToRead returns how many tokens of the shared parts the target was expected to read.
 func (r *relayedRequest) sharedTokensToRead() int {
 	if len(r.call.Prompt.Parts) < 2 {
@@ -345,12 +356,16 @@
 	return err.Error()
 }
 
-func (r *Relayer) crashesTargets(fingerprint uint64) bool {
-	return r.settings.Strikes != nil && r.settings.Strikes.CrashesTargets(fingerprint)
+// recordStrike records that the connection to the target broke while it ran the request.
+func (r *relayedRequest) recordStrike(target placer.Target) {
+	if r.relayer.settings.Strikes == nil {
+		return
+	}
+	r.relayer.settings.Logger.Info("strike", "id", r.call.ID, "target", target.ID, "parts", strings.Join(sharedPartIDs(r.call.Prompt), " "),
+		"begun", !r.firstEventAt.IsZero(), "cause", errorText(r.cause))
+	r.relayer.settings.Strikes.Strike(r.fingerprint(), uint64(target.Hash()))
 }
 
-func (r *Relayer) recordStrike(fingerprint uint64, target placer.Target) {
-	if r.settings.Strikes != nil {
-		r.settings.Strikes.Strike(fingerprint, uint64(target.Hash()))
-	}
+func (r *Relayer) crashesTargets(fingerprint uint64) bool {
+	return r.settings.Strikes != nil && r.settings.Strikes.CrashesTargets(fingerprint)
 }
