--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -87,7 +87,7 @@
 func (f *fleet) target(id, service, model string) *hostingemulator.Target {
 	target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
 		ID: id, Service: service, Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: 6,
-		EventInterval: 5 * time.Millisecond, LoadTime: 200 * time.Millisecond,
+		EventInterval: 5 * time.Millisecond, LoadTime: 200 * time.Millisecond, RestartTime: 300 * time.Millisecond,
 	})
 	if err := target.Listen(netip.MustParseAddrPort(loopback)); err != nil {
 		f.t.Fatal(err)
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	EventInterval time.Duration
 	// LoadTime is how long the target takes to load new weights.
 	LoadTime time.Duration
+	// RestartTime is how long the target is down after a crash.
+	RestartTime time.Duration
 }
 
 // TargetFaults are the faults to inject into a Target. The zero value injects none.
@@ -37,6 +41,9 @@
 	CutStreamsAfterEvent int
 	// FailRequests makes every request fail with 500 after it was admitted.
 	FailRequests bool
+	// CrashOnPart is the id of a shared part of a prompt. The target crashes when it begins the answer to a request with
+	// that part. Empty disables this.
+	CrashOnPart string
 }
 
 // Run is a request that a target executed.
@@ -54,11 +61,13 @@
 
 // Target is an emulated engine or plain service on the hosting platform.
 type Target struct {
-	settings      TargetSettings
-	listener      listener.Listener
-	startedUnixMS int64
+	settings TargetSettings
+	listener listener.Listener
 
 	mu             sync.Mutex
+	startedUnixMS  int64
+	crashes        int
+	closed         bool
 	faults         TargetFaults
 	running        int
 	loadedVersion  int64
@@ -76,27 +85,61 @@
 // Listen listens on the address, serves the target until Close, and writes its entry to the
 // store.
 func (t *Target) Listen(address netip.AddrPort) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /report", t.handleReport)
-	mux.HandleFunc("POST /order", t.handleOrder)
-	mux.HandleFunc("/", t.handleRequest)
-	if err := t.listener.Start(mux, address); err != nil {
+	if err := t.listener.Start(t.handler(), address); err != nil {
 		return err
 	}
 	t.writeEntry("ready")
 	return nil
 }
 
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", t.handleReport)
+	mux.HandleFunc("POST /order", t.handleOrder)
+	mux.HandleFunc("/", t.handleRequest)
+	return mux
+}
+
 // Drain writes an entry with the state "draining" to the store.
 func (t *Target) Drain() { t.writeEntry("draining") }
 
 // Close stops the listener and leaves the entry in the store, as a crash does.
 func (t *Target) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
 	t.listener.Stop()
 	t.listener.Wait()
 	return nil
 }
 
+// crash closes all connections, and lets a new incarnation of the target listen after TargetSettings.RestartTime.
+func (t *Target) crash() {
+	t.mu.Lock()
+	t.crashes++
+	t.mu.Unlock()
+	t.listener.Stop()
+	time.AfterFunc(t.settings.RestartTime, t.restart)
+}
+
+func (t *Target) restart() {
+	t.mu.Lock()
+	closed := t.closed
+	t.startedUnixMS, t.changeSeq, t.highestFencing = time.Now().UnixMilli(), 0, 0
+	t.mu.Unlock()
+	if closed || t.listener.Restart(t.handler()) != nil {
+		return
+	}
+	t.writeEntry("ready")
+}
+
+// Crashes returns how often the target has crashed.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(faults TargetFaults) {
 	t.mu.Lock()
@@ -246,6 +289,11 @@
 
 func (t *Target) writeStream(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if hasSharedPart(r.Header.Get("X-Prompt-Prefix"), faults.CrashOnPart) {
+		_ = http.NewResponseController(w).Flush() // The head of the answer is all that is sent.
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	controller := http.NewResponseController(w)
 	for id := from + 1; id <= t.settings.StreamEvents; id++ {
@@ -265,3 +313,9 @@
 		}
 	}
 }
+
+// hasSharedPart reports whether the prompt contains the part, the last one aside.
+func hasSharedPart(prompt, id string) bool {
+	parts := strings.Split(prompt, ",")
+	return id != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return strings.HasPrefix(part, id+":") })
+}
