relayer, connector: a stream without a length that ends inside an event has been broken off

Callers saw the torn event as the end of a complete stream, since an end of the connection counted as the end of the body. A Response now tells whether its end is stated; a stream where it is not is broken off if it ends before its first event or inside an event, and is resumed or aborted as others are. TestUndelimitedStreamThatEndsInsideEventIsIncomplete fails without the change in stream.go (the torn event is passed on).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -117,11 +117,14 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-// Response is the response of a target. Body ends with io.EOF only if it was received completely.
+// Response is the response of a target. If it is Delimited, Body ends with io.EOF only if it was received completely.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Delimited is set if the response states where its body ends, by a length or by chunks. Otherwise the body ends with
+	// the connection, so that an incomplete body ends with io.EOF too.
+	Delimited bool
 
 	body       io.ReadCloser
 	connector  *Connector
@@ -205,6 +208,7 @@
 	}
 	response = &Response{
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
+		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
 		connector: c, connection: conn, writeResult: writeResult, cancelAfterFunc: cancelAfterFunc,
 		keepAlive: !head.Close && !request.Exclusive,
 	}
@@ -411,9 +415,9 @@
 	return false
 }
 
-// NewResponse returns a response without a connection, for test doubles of a Connector.
+// NewResponse returns a delimited response without a connection, for test doubles of a Connector.
 func NewResponse(status int, header http.Header, body io.ReadCloser) *Response {
-	response := &Response{Status: status, Header: header, body: body, cancelAfterFunc: func() bool { return false }}
+	response := &Response{Status: status, Header: header, Delimited: true, body: body, cancelAfterFunc: func() bool { return false }}
 	response.Body = &bodyReader{response: response}
 	return response
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -280,3 +280,27 @@
 		t.Error("the connection to the target stayed open")
 	}
 }
+
+func TestResponseTellsWhetherItsEndIsStated(t *testing.T) {
+	for name, want := range map[string]bool{
+		"Content-Length: 2\r\n\r\nok":                            true,
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n": true,
+		"Connection: close\r\n\r\nok":                            false,
+	} {
+		target := newScriptedTarget(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+name) // The client's error tells if this fails.
+			return false
+		})
+		c := connector.New(connector.Settings{})
+		response, err := c.Send(t.Context(), target.address, connector.Request{Method: http.MethodGet, URI: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if string(body) != "ok" || err != nil || response.Delimited != want {
+			t.Errorf("%q: body %q, %v, delimited %v", name, body, err, response.Delimited)
+		}
+		_ = response.Close()
+		_ = c.Close()
+	}
+}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -61,6 +61,8 @@
 	notRun bool
 	// truncated ends the body with io.ErrUnexpectedEOF.
 	truncated bool
+	// undelimited makes the answer end with its connection, without a length or chunks.
+	undelimited bool
 	// before is called before the answer.
 	before func()
 	// queued is the time that the request waits at the target before the answer. It ends early if the attempt's
@@ -204,7 +206,9 @@
 	if next.truncated {
 		body = truncatingReader{body}
 	}
-	return connector.NewResponse(next.status, header, io.NopCloser(body)), nil
+	response := connector.NewResponse(next.status, header, io.NopCloser(body))
+	response.Delimited = !next.undelimited
+	return response, nil
 }
 
 // result is the response that the caller received.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -107,6 +107,27 @@
 	}
 }
 
+// Guards against a stream without a length or chunks that breaks off being passed on as complete (ORDER, MIXED).
+func TestUndelimitedStreamThatEndsInsideEventIsIncomplete(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, c := range []struct {
+		name, path string
+		body       string
+		want       result
+		attempts   int
+	}{
+		{"whole", "/stream/", whole, result{status: 200, body: whole}, 1},
+		{"ends inside an event", "/stream/", whole + "id: 3\nda", result{status: 200, body: whole, aborted: true}, 1},
+		{"ends before the first event", "/stream/", "", result{status: 502, reason: "broken"}, 1},
+		{"resumed", "/resume/", "id: 1\ndata: a\n\nid: 2\nda", result{status: 200, body: whole}, 2},
+	} {
+		h := newHarness(targetBehaviour{status: 200, body: c.body, undelimited: true}, targetBehaviour{status: 200, body: "id: 2\ndata: b\n\n"})
+		if seen := relayOnce(t, h, c.path); seen != c.want || len(h.attemptTargets) != c.attempts {
+			t.Errorf("%s: %+v after %d attempts, want %+v after %d", c.name, seen, len(h.attemptTargets), c.want, c.attempts)
+		}
+	}
+}
+
 func TestAdmissionUsesNewestConfiguration(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,6 +23,9 @@
 
 var eventEnd = []byte("\n\n")
 
+// errBrokenOff is the cause if a stream that states no length ends before its first event or inside an event.
+var errBrokenOff = fmt.Errorf("stream ended inside an event: %w", io.ErrUnexpectedEOF)
+
 // forwardStream forwards events as they arrive. It forwards only complete events, so that a broken stream can
 // be resumed at another target after the last forwarded one.
 func (r *relayedRequest) forwardStream(ctx context.Context, choice placer.Choice, response *connector.Response) attemptResult {
@@ -32,7 +36,7 @@
 		n, err := response.Body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
 		completeBytes := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && response.Delimited {
 			completeBytes = len(pending)
 		}
 		if completeBytes >= len(eventEnd) {
@@ -43,6 +47,8 @@
 			pending = append(pending[:0], pending[completeBytes:]...)
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !response.Delimited && (len(pending) > 0 || r.firstEventAt.IsZero()):
+			return r.classifyBodyError(ctx, choice, errBrokenOff)
 		case errors.Is(err, io.EOF):
 			return r.endStream(response)
 		case err != nil:
