attributor, relayer: shared parts of prompts are suspected as well as whole requests

Cause: strikes were counted by a fingerprint of the whole request, so no two of these requests shared a count; and a strike counted only once the store no longer listed the target, 2.3 to 3.6 s after the crash. Class: evidence is collected under the identity of the whole where a component is the cause, and confirmed by the slowest witness.

Change: a Cause is a whole request or one shared part. Each cause of a request gets a strike if the target closed the connection at the beginning of the answer. A strike counts once the address refuses connections, which the daemon tries once. A completed answer clears its causes at all daemons; crashes of one moment count once; causes that always come together are refused together only, until one of them completes alone or five crashes are reached. Suspects are repeated for daemons that start, and one request is let through after 20 s, then ever more rarely. So a cause that was wrongly suspected, or has been mended, comes free again; before, a refusal lasted until the daemon's end.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
 
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
@@ -101,6 +102,28 @@
 	placer               *placer.Placer
 	attributor           *attributor.Attributor
 	upgrader             *upgrader.Upgrader
+	// registeredPeers are the names of the other daemons; nil before they are known.
+	registeredPeers atomic.Pointer[[]string]
+}
+
+// peerNames returns the names of the other daemons.
+func (v *deploymentView) peerNames() []string {
+	if names := v.registeredPeers.Load(); names != nil {
+		return *names
+	}
+	return nil
+}
+
+// rank returns the position of the named daemon, which is this one, among all daemons, in an order that depends on the
+// cause.
+func (v *deploymentView) rank(self string, cause attributor.Cause) (rank int) {
+	score := func(name string) uint64 { return xxh3.HashStringSeed(name, uint64(cause)) }
+	for _, peer := range v.peerNames() {
+		if score(peer) > score(self) {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Catalog returns the current configuration, or nil before the first was read.
@@ -122,7 +145,7 @@
 // Export returns the state to send to the other daemons.
 func (v *deploymentView) Export() placer.PeerUpdate {
 	update := v.placer.Export()
-	update.Strikes = v.attributor.Export()
+	update.Strikes, update.Completions = v.attributor.Export()
 	update.UpgradePlan = v.upgrader.Plan()
 	return update
 }
@@ -131,9 +154,7 @@
 func (v *deploymentView) Import(peer string, update placer.PeerUpdate) {
 	v.placer.Import(peer, update)
 	v.upgrader.ApplyPlan(update.UpgradePlan)
-	for _, strike := range update.Strikes {
-		v.attributor.Import(strike)
-	}
+	v.attributor.Import(update.Strikes, update.Completions)
 }
 
 // coordination holds this daemon's two leases in the store and its upgrader. Only one daemon's upgrader at a
@@ -226,7 +247,10 @@
 		DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		Seed: rand.Uint64(),
 	})
-	v.attributor = attributor.New(attributor.Settings{KnowsIncarnation: v.placer.KnowsIncarnation, Now: time.Now})
+	v.attributor = attributor.New(attributor.Settings{
+		KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
+		Rank: func(cause attributor.Cause) int { return v.rank(d.settings.Name, cause) }, Daemons: func() int { return len(v.peerNames()) + 1 },
+	})
 	v.declarations = tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: decodeDeclaration,
 		OnCatalog: func(catalog *cataloger.Catalog) {
@@ -343,6 +367,7 @@
 	group.Add(d.coordination.upgraderLease.Close())
 	group.Add(d.coordination.presenceLease.Close())
 	group.Add(d.cachePolling.poller.Close())
+	group.Add(d.view.attributor.Close())
 	if d.broadcaster != nil {
 		group.Add(d.broadcaster.Close())
 	}
@@ -356,7 +381,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Strikes: view.attributor,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Crashes: view.attributor,
 		RetryBudget: newRetryBudgets(d.hosted.Load, d.broadcaster.PeerCount), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -90,10 +90,12 @@
 // applyPeers passes the other daemons to the broadcaster, their number to the placer, and the daemons to the assignment
 // of cache polling.
 func (d *Daemon) applyPeers(peers []tracker.Peer) {
-	receivers := make([]broadcaster.Peer, 0, len(peers))
+	receivers, names := make([]broadcaster.Peer, 0, len(peers)), make([]string, 0, len(peers))
 	for _, peer := range peers {
 		receivers = append(receivers, broadcastPeer(peer))
+		names = append(names, receivers[len(receivers)-1].Name)
 	}
+	d.view.registeredPeers.Store(&names)
 	d.broadcaster.SetPeers(receivers)
 	d.view.placer.SetDaemonCount(len(peers) + 1)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -1,10 +1,22 @@
-// Package attributor finds requests that crash the targets that run them.
+// Package attributor finds what crashes the targets that run it, and tells which requests to refuse.
 //
-// If the connection to a target breaks while the target runs a request, the request gets a strike. Most requests with a
-// strike did not cause the failure: the target crashed for another reason, or only the connection broke.
-// Therefore a strike counts only after that incarnation of the target no longer exists, and a request is
-// refused once it has strikes from three such incarnations. Requests are identified by a fingerprint, which is the same for all copies
-// of a request, and daemons exchange their strikes.
+// A crash can be caused by one request, whose copies come again, or by one shared part of prompts, which comes in
+// requests that otherwise differ. Both are a Cause. If the target closes its connections while it runs a request, each
+// cause in that request gets a strike. Most of them did not cause the failure: the request only ran beside the one that did,
+// the target crashed for another reason, or only the connection broke. Therefore:
+//
+//   - A strike counts only after that incarnation of the target has ended. That is known as soon as its address refuses
+//     connections, and at the latest when the target is listed no more.
+//   - An answer that was completed clears the strikes of all causes in its request, at all daemons.
+//   - Crashes within minCrashSpacing of each other count once, since they are likely to have a common cause.
+//   - A crash does not count against a cause if it is explained by another one, which has at least as many crashes, this
+//     one among them, and is not in the request. That holds for fewer than certainThreshold crashes.
+//
+// A request is refused while one of its causes has crashThreshold crashes that count. So of two causes that have always
+// come together, requests with only one of them still run, and show which of the two it is. From time to time one request
+// is let through, in case the cause has been mended or was wrongly suspected.
+//
+// Daemons exchange strikes and completions. A daemon that starts learns from the others which causes are suspect.
 //
 // Package quarantiner has the same purpose for OpenAI-compatible calls, where daemons can query each other
 // before each attempt and isolate a call that may have caused crashes. The requests that are checked by
@@ -13,142 +25,212 @@
 // # Usage
 //
 //	a := attributor.New(attributor.Settings{KnowsIncarnation: placer.KnowsIncarnation, Now: time.Now})
-//	a.Strike(fingerprint, incarnation)
-//	if a.CrashesTargets(fingerprint) {
-//		// Refuse it.
+//	defer a.Close()
+//	causes := []attributor.Cause{attributor.RequestCause(account, method, uri, body), attributor.PartCause(model, part)}
+//	if verdict := a.Verdict(causes); verdict.Refused {
+//		// Refuse the request and ask the caller to retry after verdict.RetryAfter.
 //	}
+//	a.RecordBroken(causes, incarnation, address) // The target closed the connection.
+//	a.RecordCompletion(causes)                   // The answer is complete.
 package attributor
 
 import (
+	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/xxh3"
 )
 
 const (
-	// crashThreshold is the number of crashed targets at which a request is refused.
+	// crashThreshold is the number of crashed targets at which requests with a cause are refused.
 	crashThreshold = 3
-	// strikeRetention is the age of a request's last strike beyond which the request is evicted first when
-	// there are maxRequests.
-	strikeRetention = 2 * time.Minute
-	// maxRequests bounds the number of requests with strikes.
-	maxRequests = 4096
-	// exportsPerStrike is how many times a strike is sent to the peers, since datagrams may be lost.
-	exportsPerStrike = 3
+	// certainThreshold is the number of crashes from which on requests with a cause are refused even if another cause
+	// explains the crashes as well.
+	certainThreshold = 5
+	// minCrashSpacing is the time within which several crashes count once.
+	minCrashSpacing = 100 * time.Millisecond
+	// baseHold is how long after the last crash requests are refused until one is let through. It doubles with each crash
+	// beyond crashThreshold up to maxHold.
+	baseHold = 20 * time.Second
+	maxHold  = 10 * time.Minute
+	// trialStagger is the time between the trials of two daemons, so that the later one knows the result of the first.
+	trialStagger = 3 * time.Second
 )
 
-// Strike records that the connection to a target broke while the target ran a request.
-type Strike struct {
-	// Request is the fingerprint of the request.
-	Request uint64
-	// Incarnation identifies the target process; a restarted target has a new one.
-	Incarnation uint64
+// Cause identifies what may crash targets.
+type Cause uint64
+
+// RequestCause returns the cause that all copies of a request have in common.
+func RequestCause(account, method, uri string, body []byte) Cause {
+	return Cause(xxh3.HashSeed(body, xxh3.HashString(account+" "+method+" "+uri)))
 }
 
-// Settings are the parameters of an Attributor.
+// PartCause returns the cause that all requests with a part in their prompts have in common. The same part is another
+// cause for another model.
+func PartCause(model, part string) Cause { return Cause(xxh3.HashString("part " + model + " " + part)) }
+
+// Settings are the parameters of an Attributor. Refuses, Rank and Daemons are optional.
 type Settings struct {
-	// KnowsIncarnation reports whether an incarnation still exists.
+	// KnowsIncarnation reports whether an incarnation is still listed.
 	KnowsIncarnation func(incarnation uint64) bool
-	Now              func() time.Time
+	// Refuses reports whether nothing listens at an address: whether its host refuses connections.
+	Refuses func(ctx context.Context, address netip.AddrPort) bool
+	// Rank returns the position of this daemon among all daemons, from zero, in an order that depends on the cause.
+	Rank func(cause Cause) int
+	// Daemons returns the number of daemons.
+	Daemons func() int
+	Now     func() time.Time
 }
 
-// Attributor counts strikes. Its methods are safe for concurrent use.
-type Attributor struct {
-	settings Settings
-
-	mu       sync.Mutex
-	requests map[uint64][]strikeRecord
-	pending  []pendingExport
+// Verdict tells whether a request is to be refused.
+type Verdict struct {
+	Refused bool
+	// Cause is the one for which the request is refused.
+	Cause Cause
+	// RetryAfter is the time until a request with the cause may be let through.
+	RetryAfter time.Duration
 }
 
-// strikeRecord is a strike of one request, without the request's fingerprint, and the time at which it was recorded.
-type strikeRecord struct {
-	incarnation uint64
-	at          time.Time
-}
+// Attributor counts crashes by their causes. Its methods are safe for concurrent use.
+type Attributor struct {
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	checks   conc.WaitGroup
 
-// pendingExport is a strike that is still to be sent to the peers.
-type pendingExport struct {
-	strike    Strike
-	remaining int
+	mu           sync.Mutex
+	records      recordTable
+	incarnations incarnationTable
+	outbox       outbox
 }
 
 // New returns an Attributor without strikes.
 func New(settings Settings) *Attributor {
-	return &Attributor{settings: settings, requests: make(map[uint64][]strikeRecord)}
+	if settings.Rank == nil {
+		settings.Rank = func(Cause) int { return 0 }
+	}
+	if settings.Daemons == nil {
+		settings.Daemons = func() int { return 1 }
+	}
+	a := &Attributor{settings: settings, records: make(recordTable), incarnations: newIncarnationTable(settings.KnowsIncarnation)}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
 }
 
-// Strike records that the connection to a target broke while the target ran the request. Further strikes of the
-// same incarnation are ignored.
-func (a *Attributor) Strike(request, incarnation uint64) {
+// Close ends the checks of incarnations and waits for them.
+func (a *Attributor) Close() error {
+	a.cancel()
+	a.checks.Wait()
+	return nil
+}
+
+// RecordBroken records that an incarnation of a target, which listened at the address, closed its connection while it
+// ran a request with these causes.
+func (a *Attributor) RecordBroken(causes []Cause, incarnation uint64, address netip.AddrPort) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	strike := Strike{Request: request, Incarnation: incarnation}
-	if a.add(strike) {
-		a.pending = append(a.pending, pendingExport{strike: strike, remaining: exportsPerStrike})
+	now := a.settings.Now()
+	for _, cause := range causes {
+		if a.records.add(cause, strike{incarnation: incarnation, at: now}, now) {
+			a.outbox.addStrike(strikeKey{cause, incarnation})
+		}
+	}
+	if a.settings.Refuses != nil && a.ctx.Err() == nil && a.incarnations.beginCheck(incarnation, now) {
+		a.checks.Go(func() { a.check(incarnation, address) })
 	}
 }
 
-// Import records a strike that was received from a peer. It is not exported again.
-func (a *Attributor) Import(strike Strike) {
+// check finds out whether the incarnation has ended.
+func (a *Attributor) check(incarnation uint64, address netip.AddrPort) {
+	if !a.settings.Refuses(a.ctx, address) {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.add(strike)
+	a.incarnations.end(incarnation, a.settings.Now())
+	for cause, r := range a.records {
+		if r.has(incarnation) {
+			a.outbox.addStrike(strikeKey{cause, incarnation}) // One strike tells the peers that the incarnation has ended.
+			return
+		}
+	}
 }
 
-// Export returns the strikes for the next message to the peers. It returns each of this daemon's strikes
-// exportsPerStrike times.
-func (a *Attributor) Export() (strikes []Strike) {
+// RecordCompletion records that the answer to a request with these causes is complete.
+func (a *Attributor) RecordCompletion(causes []Cause) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for i := range a.pending {
-		strikes = append(strikes, a.pending[i].strike)
-		a.pending[i].remaining--
+	now := a.settings.Now()
+	for _, cause := range causes {
+		if a.records.complete(cause, now, now) {
+			a.outbox.addCompletion(cause)
+		}
 	}
-	a.pending = slices.DeleteFunc(a.pending, func(e pendingExport) bool { return e.remaining <= 0 })
-	return strikes
 }
 
-// CrashesTargets reports whether the request is to be refused, because at least crashThreshold of the incarnations
-// that its strikes name no longer exist.
-func (a *Attributor) CrashesTargets(request uint64) bool {
+// Verdict tells whether a request with these causes is to be refused. If it lets a request through as a trial, it refuses
+// the next ones.
+func (a *Attributor) Verdict(causes []Cause) Verdict {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	crashes := 0
-	for _, record := range a.requests[request] {
-		if !a.settings.KnowsIncarnation(record.incarnation) {
-			crashes++
+	now := a.settings.Now()
+	var trials []*record
+	for _, cause := range causes {
+		crashes := a.crashes(cause)
+		if countCrashes(crashes) < crashThreshold || a.explained(crashes, causes) {
+			continue
 		}
+		hold := holdAfter(crashes)
+		due := crashes[len(crashes)-1].at.Add(hold)
+		r := a.records[cause]
+		if now.Before(due.Add(time.Duration(a.settings.Rank(cause))*trialStagger)) || now.Sub(r.trialAt) < hold {
+			return Verdict{Refused: true, Cause: cause, RetryAfter: max(due.Sub(now), trialStagger)}
+		}
+		trials = append(trials, r)
+	}
+	for _, r := range trials {
+		r.trialAt = now
 	}
-	return crashes >= crashThreshold
+	return Verdict{}
 }
 
-// add records a strike, and reports whether it is the first of its request and incarnation.
-func (a *Attributor) add(strike Strike) (added bool) {
-	now := a.settings.Now()
-	records := a.requests[strike.Request]
-	if slices.ContainsFunc(records, func(r strikeRecord) bool { return r.incarnation == strike.Incarnation }) {
-		return false
+// crashes returns the strikes of a cause whose incarnations have ended, the oldest first.
+func (a *Attributor) crashes(cause Cause) (crashes []strike) {
+	r := a.records[cause]
+	if r == nil || len(r.strikes) < crashThreshold {
+		return nil
 	}
-	if records == nil && len(a.requests) >= maxRequests {
-		a.evict(now)
+	for _, s := range r.strikes {
+		if a.incarnations.hasEnded(s.incarnation) {
+			crashes = append(crashes, s)
+		}
 	}
-	a.requests[strike.Request] = append(records, strikeRecord{incarnation: strike.Incarnation, at: now})
-	return true
+	return crashes
 }
 
-// evict deletes requests whose last strike is older than strikeRetention, and then arbitrary ones while there
-// are maxRequests.
-func (a *Attributor) evict(now time.Time) {
-	for request, records := range a.requests {
-		if now.Sub(records[len(records)-1].at) > strikeRetention {
-			delete(a.requests, request)
-		}
+// explained reports whether the crashes are fewer than certainThreshold and too few of them remain without those of stronger causes that are not in the request.
+func (a *Attributor) explained(crashes []strike, causes []Cause) bool {
+	strength, remaining := countCrashes(crashes), crashes
+	if strength >= certainThreshold {
+		return false
 	}
-	for request := range a.requests {
-		if len(a.requests) < maxRequests {
-			return
+	for other := range a.records {
+		if theirs := a.crashes(other); countCrashes(theirs) >= strength && !slices.Contains(causes, other) {
+			remaining = without(remaining, theirs)
 		}
-		delete(a.requests, request)
 	}
+	return countCrashes(remaining) < crashThreshold
+}
+
+// holdAfter returns how long after the last of the crashes no request is let through.
+func holdAfter(crashes []strike) time.Duration {
+	hold := baseHold
+	for range len(crashes) - crashThreshold {
+		hold = min(2*hold, maxHold)
+	}
+	return hold
 }
--- a/broadcaster/aggregate.go
+++ b/broadcaster/aggregate.go
@@ -22,14 +22,16 @@
 
 // news are changes that are passed on once.
 type news struct {
-	holdings []placer.Holding
-	strikes  []attributor.Strike
+	holdings    []placer.Holding
+	strikes     []attributor.Strike
+	completions []attributor.Completion
 }
 
 func (n *news) add(update placer.PeerUpdate) {
 	room := max(maxQueuedHoldings-len(n.holdings), 0)
 	n.holdings = append(n.holdings, update.Holdings[:min(len(update.Holdings), room)]...)
 	n.strikes = append(n.strikes, update.Strikes...)
+	n.completions = append(n.completions, update.Completions...)
 }
 
 // aggregate collects what an aggregator receives, and combines it into the messages that it sends.
@@ -120,7 +122,7 @@
 	sum.add(own.Loads)
 	sum.addAll(a.members)
 	local := placer.PeerUpdate{
-		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes,
+		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes, Completions: a.localNews.completions,
 		AnnouncedVersions: own.AnnouncedVersions, UpgradePlan: plan,
 	}
 	sum.addAll(a.remote)
@@ -129,6 +131,7 @@
 	fleet.UpgradePlan = newerPlan(plan, a.remotePlan.current(now))
 	fleet.Holdings = slices.Concat(local.Holdings, a.remoteNews.holdings)
 	fleet.Strikes = slices.Concat(local.Strikes, a.remoteNews.strikes)
+	fleet.Completions = slices.Concat(local.Completions, a.remoteNews.completions)
 	a.localNews, a.remoteNews = news{}, news{}
 	return Message{Sender: self.Name, Scope: ScopeDataCentre, Update: local},
 		Message{Sender: self.Name, Scope: ScopeFleet, Update: fleet, Members: a.memberHashes()}
--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
@@ -38,11 +39,14 @@
 	work     map[string][]placer.Load
 	holdings []placer.Holding
 	plan     placer.UpgradePlan
+
+	strikes     []attributor.Strike
+	completions []attributor.Completion
 }
 
 func (d *simulatedDaemon) Export() placer.PeerUpdate {
 	update := d.own
-	d.own.Holdings = nil
+	d.own.Holdings, d.own.Strikes, d.own.Completions = nil, nil, nil
 	return update
 }
 
@@ -51,6 +55,8 @@
 		d.work[peer] = slices.Clone(update.Loads)
 	}
 	d.holdings = append(d.holdings, update.Holdings...)
+	d.strikes = append(d.strikes, update.Strikes...)
+	d.completions = append(d.completions, update.Completions...)
 	if update.UpgradePlan.FencingToken >= d.plan.FencingToken {
 		d.plan = update.UpgradePlan
 	}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -29,6 +29,7 @@
 	fieldScope        protowire.Number = 9
 	fieldLoadsOmitted protowire.Number = 10
 	fieldMembers      protowire.Number = 11
+	fieldCompletion   protowire.Number = 12
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -39,10 +40,13 @@
 	fieldTokens         protowire.Number = 3
 	fieldModel          protowire.Number = 1
 	fieldVersion        protowire.Number = 2
-	fieldFingerprint    protowire.Number = 1
+	fieldCause          protowire.Number = 1
 	fieldIncarnation    protowire.Number = 2
-	// fieldExtra is the age of an announced version in milliseconds, or the hash of an upgraded target.
+	// fieldExtra is the hash of an upgraded target, or an age in milliseconds: of an announced version, a strike or a
+	// completion.
 	fieldExtra protowire.Number = 3
+	// fieldEnded is 1 in a strike whose incarnation is known to have ended.
+	fieldEnded protowire.Number = 4
 )
 
 var errMalformed = errors.New("malformed message")
@@ -103,12 +107,30 @@
 		datagram = appendAnnouncedVersion(datagram, announced)
 	}
 	for _, strike := range m.Update.Strikes {
-		datagram = appendVarints(datagram, fieldStrike, strike.Request, strike.Incarnation)
+		datagram = appendVarints(datagram, fieldStrike, uint64(strike.Cause), strike.Incarnation, milliseconds(strike.Age), boolNumber(strike.Ended))
+	}
+	for _, completion := range m.Update.Completions {
+		datagram = appendVarints(datagram, fieldCompletion, uint64(completion.Cause), 0, milliseconds(completion.Age))
 	}
 	datagram = appendMembers(datagram, m.Members)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
 
+// milliseconds returns the age as the number that stands for it in messages.
+func milliseconds(age time.Duration) uint64 { return uint64(max(age.Milliseconds(), 0)) }
+
+// age returns the age of the submessage.
+func (s submessage) age() time.Duration {
+	return time.Duration(s.numbers[fieldExtra]) * time.Millisecond
+}
+
+func boolNumber(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 // appendVarint appends a number as a field of the message itself. Zero is omitted.
 func appendVarint(message []byte, field protowire.Number, value uint64) []byte {
 	if value == 0 {
@@ -168,7 +190,7 @@
 }
 
 func appendAnnouncedVersion(message []byte, announced placer.AnnouncedVersion) []byte {
-	return appendModel(message, fieldAnnouncedVersion, announced.Model, uint64(announced.Version), uint64(max(announced.Age.Milliseconds(), 0)))
+	return appendModel(message, fieldAnnouncedVersion, announced.Model, uint64(announced.Version), milliseconds(announced.Age))
 }
 
 // appendModel appends a submessage that contains a model, a version and fieldExtra.
@@ -230,6 +252,8 @@
 		update.UpgradePlan.Upgraded = append(update.UpgradePlan.Upgraded, s.upgradedTarget())
 	case fieldStrike:
 		update.Strikes = append(update.Strikes, s.strike())
+	case fieldCompletion:
+		update.Completions = append(update.Completions, attributor.Completion{Cause: attributor.Cause(s.numbers[fieldCause]), Age: s.age()})
 	case fieldAnnouncedVersion:
 		update.AnnouncedVersions = append(update.AnnouncedVersions, s.announcedVersion())
 	}
@@ -297,7 +321,9 @@
 }
 
 func (s submessage) strike() attributor.Strike {
-	return attributor.Strike{Request: s.numbers[fieldFingerprint], Incarnation: s.numbers[fieldIncarnation]}
+	return attributor.Strike{
+		Cause: attributor.Cause(s.numbers[fieldCause]), Incarnation: s.numbers[fieldIncarnation], Age: s.age(), Ended: s.numbers[fieldEnded] != 0,
+	}
 }
 
 func (s submessage) upgradedTarget() placer.UpgradedTarget {
@@ -305,7 +331,5 @@
 }
 
 func (s submessage) announcedVersion() placer.AnnouncedVersion {
-	return placer.AnnouncedVersion{
-		Model: s.text, Version: int64(s.numbers[fieldVersion]), Age: time.Duration(s.numbers[fieldExtra]) * time.Millisecond,
-	}
+	return placer.AnnouncedVersion{Model: s.text, Version: int64(s.numbers[fieldVersion]), Age: s.age()}
 }
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -217,6 +218,16 @@
 	return response, nil
 }
 
+// Refuses reports whether nothing listens at an address: whether its host refuses a new connection, which is closed if it
+// does not.
+func (c *Connector) Refuses(ctx context.Context, address netip.AddrPort) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	if err == nil {
+		_ = conn.Close() // Nothing was sent on it.
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // acquire returns a reusable idle connection unless fresh is set, or else a new one.
 func (c *Connector) acquire(ctx context.Context, address netip.AddrPort, fresh bool) (conn *connection, err error) {
 	for !fresh {
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -81,14 +81,15 @@
 	Holdings          []Holding
 	AnnouncedVersions []AnnouncedVersion
 	Strikes           []attributor.Strike
+	Completions       []attributor.Completion
 	// UpgradePlan is the plan of the sender if it holds the update lock.
 	UpgradePlan UpgradePlan
 }
 
-// Empty reports whether the update contains no loads, holdings, strikes or targets that are being upgraded. An update with
-// only the rest, such as announced versions, need not be sent, since the next update contains it too.
+// Empty reports whether the update contains no loads, holdings, strikes, completions or targets that are being upgraded. An
+// update with only the rest, such as announced versions, need not be sent, since the next update contains it too.
 func (u PeerUpdate) Empty() bool {
-	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.UpgradePlan.Upgrading) == 0
+	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.Completions) == 0 && len(u.UpgradePlan.Upgrading) == 0
 }
 
 // peer is the last known work of another daemon at the targets.
@@ -122,7 +123,7 @@
 const maxExportedVersions = 4
 
 // Export returns the work of this daemon, the changes of held parts since the last call, and the newest wanted
-// versions of the weights. The caller adds the strikes and the upgrade plan.
+// versions of the weights. The caller adds the strikes, the completions and the upgrade plan.
 func (p *Placer) Export() (update PeerUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,7 +146,7 @@
 }
 
 // Import replaces the known work of a peer at the targets, and adds the parts and wanted versions that it announces.
-// It ignores the strikes and the upgrade plan, and drops the work of peers that have timed out.
+// It ignores the strikes, the completions and the upgrade plan, and drops the work of peers that have timed out.
 func (p *Placer) Import(name string, update PeerUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -165,14 +165,13 @@
 	if _, err := r.writer.Write(buffer.Bytes()); err != nil {
 		return r.abortOnWriteError(err)
 	}
-	if complete {
-		r.result = ResultAnswered
-		return answered
-	}
-	if _, err := io.Copy(r.writer, response.Body); err != nil {
-		return r.classifyBodyError(ctx, choice, err)
+	if !complete {
+		if _, err := io.Copy(r.writer, response.Body); err != nil {
+			return r.classifyBodyError(ctx, choice, err)
+		}
 	}
 	r.result = ResultAnswered
+	r.recordCompletion(response.Status, response.Delimited)
 	return answered
 }
 
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -13,6 +13,7 @@
 
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
@@ -39,8 +40,9 @@
 	resumeAfter    []string
 	remaining      []time.Duration
 	retryBudget    int
-	// strikes counts the strikes by fingerprint.
-	strikes map[uint64]int
+	// strikes counts the strikes by cause, and completions the completed answers.
+	strikes     map[attributor.Cause]int
+	completions map[attributor.Cause]int
 	// closed counts the attempts whose connection was closed before an answer.
 	closed         int
 	crashesTargets bool
@@ -101,7 +103,7 @@
 }
 
 func newHarness(behaviours ...targetBehaviour) *harness {
-	h := &harness{behaviours: behaviours, retryBudget: 100, strikes: make(map[uint64]int)}
+	h := &harness{behaviours: behaviours, retryBudget: 100, strikes: make(map[attributor.Cause]int), completions: make(map[attributor.Cause]int)}
 	h.catalog = cataloger.New(1, cataloger.Declarations{
 		Routes: routes(), Accounts: []cataloger.Account{{Name: "account", Keys: []string{key}}},
 	})
@@ -137,12 +139,27 @@
 	time.Sleep(replacedFor)
 }
 
-func (h *harness) Catalog() *cataloger.Catalog  { return h.catalog }
-func (h *harness) ContactAge() time.Duration    { return h.contactAge }
-func (h *harness) Deposit(string)               {}
-func (h *harness) TryWithdraw(string) bool      { h.retryBudget--; return h.retryBudget >= 0 }
-func (h *harness) CrashesTargets(uint64) bool   { return h.crashesTargets }
-func (h *harness) Strike(fingerprint, _ uint64) { h.strikes[fingerprint]++ }
+func (h *harness) Catalog() *cataloger.Catalog { return h.catalog }
+func (h *harness) ContactAge() time.Duration   { return h.contactAge }
+func (h *harness) Deposit(string)              {}
+func (h *harness) TryWithdraw(string) bool     { h.retryBudget--; return h.retryBudget >= 0 }
+
+func (h *harness) Verdict(causes []attributor.Cause) attributor.Verdict {
+	return attributor.Verdict{Refused: h.crashesTargets, Cause: causes[0], RetryAfter: time.Second}
+}
+
+func (h *harness) RecordBroken(causes []attributor.Cause, _ uint64, _ netip.AddrPort) {
+	for _, cause := range causes {
+		h.strikes[cause]++
+	}
+}
+
+func (h *harness) RecordCompletion(causes []attributor.Cause) {
+	for _, cause := range causes {
+		h.completions[cause]++
+	}
+}
+
 func (h *harness) Refuse(rw http.ResponseWriter, refusal relayer.Refusal) {
 	rw.Header().Set("Reason", string(refusal.Reason))
 	if refusal.NotRun {
@@ -223,7 +240,7 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Strikes: h, Tracer: h.tracer,
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer,
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -26,7 +26,7 @@
 	ReasonShed Reason = "shed"
 	// ReasonUnreachable: no byte of the request was sent in the last attempt, and no target has run it.
 	ReasonUnreachable Reason = "unreachable"
-	// ReasonCrashesTargets: targets crashed while they ran this request before. See StrikeCounter.
+	// ReasonCrashesTargets: targets crashed while they ran this request before. See CrashAttributor.
 	ReasonCrashesTargets Reason = "crashes_targets"
 	// ReasonBroken: a target may have run the request, and its answer is missing or incomplete.
 	ReasonBroken Reason = "broken"
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,6 +21,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
@@ -130,24 +131,25 @@
 	TryWithdraw(service string) bool
 }
 
-// StrikeCounter counts strikes: for each request, the incarnations of targets whose connection broke while they ran it.
-// Copies of a request have the same fingerprint.
-type StrikeCounter interface {
-	// CrashesTargets reports whether the request has crashed enough targets to be refused.
-	CrashesTargets(fingerprint uint64) bool
-	// Strike records that the connection to an incarnation of a target broke while it ran the request. The incarnation
-	// is identified by its placer.TargetHash.
-	Strike(fingerprint, incarnation uint64)
+// CrashAttributor finds out which causes in requests crash targets: a request as a whole, or a shared part of its prompt.
+type CrashAttributor interface {
+	// Verdict tells whether a request with these causes is to be refused, since they crash targets.
+	Verdict(causes []attributor.Cause) attributor.Verdict
+	// RecordBroken records that the connection to an incarnation of a target broke while it ran a request with these
+	// causes. The incarnation is identified by its placer.TargetHash.
+	RecordBroken(causes []attributor.Cause, incarnation uint64, address netip.AddrPort)
+	// RecordCompletion records that the answer to a request with these causes is complete.
+	RecordCompletion(causes []attributor.Cause)
 }
 
-// Settings are the parameters of a Relayer. Strikes, Logger, Tracer and Observe are optional.
+// Settings are the parameters of a Relayer. Crashes, Logger, Tracer and Observe are optional.
 type Settings struct {
 	Configuration Configuration
 	Placer        Placer
 	Targets       TargetClient
 	Codec         Codec
 	RetryBudget   RetryBudget
-	Strikes       StrikeCounter
+	Crashes       CrashAttributor
 	Logger        *slog.Logger
 	// Tracer creates a span for each request and for each of its attempts.
 	Tracer trace.Tracer
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +13,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
+	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/relayer"
 )
 
 func TestAttemptOutcomes(t *testing.T) {
@@ -233,6 +237,39 @@
 	}
 }
 
+// The parts of a prompt get a strike only if the target may have crashed at the beginning of the answer, and only a
+// complete success whose end is stated clears them.
+func TestPartsCountAtBeginningOfAnswer(t *testing.T) {
+	closed := targetBehaviour{err: &connector.NoResponseError{Cause: io.EOF}}
+	gone := targetBehaviour{err: &connector.NoResponseError{Cause: syscall.ETIMEDOUT}}
+	for _, c := range []struct {
+		name        string
+		path        string
+		given       targetBehaviour
+		strikes     int
+		completions int
+	}{
+		{"closed without an answer", "/stream/", closed, 3, 0},
+		{"closed after the head", "/stream/", targetBehaviour{status: 200, truncated: true}, 3, 0},
+		{"closed after the first event", "/stream/", targetBehaviour{status: 200, body: "id: 1\n\nid", truncated: true}, 3, 0},
+		{"the host is gone", "/stream/", gone, 1, 0},
+		{"broken off without a stated end", "/stream/", targetBehaviour{status: 200, undelimited: true}, 3, 0},
+		{"complete", "/stream/", targetBehaviour{status: 200, body: "id: 1\n\n"}, 0, 3},
+		{"complete, without a stated end", "/stream/", targetBehaviour{status: 200, body: "id: 1\n\n", undelimited: true}, 0, 0},
+		{"failed at the target", "/once/", fails, 0, 0},
+		{"complete, not a stream", "/once/", good, 0, 3},
+		{"shed", "/once/", shed, 0, 0},
+	} {
+		h := newHarness(c.given)
+		h.prompt = relayer.Prompt{Model: model, Parts: []placer.Part{{ID: "a"}, {ID: "b"}, {ID: "own"}}}
+		h.placer.SetTargets([]placer.Target{engine("a", 1), engine("b", 1), engine("c", 1), engine("d", 1)})
+		relayOnce(t, h, c.path)
+		if len(h.strikes) != c.strikes || len(h.completions) != c.completions {
+			t.Errorf("%s: %d causes with strikes and %d completed, want %d and %d", c.name, len(h.strikes), len(h.completions), c.strikes, c.completions)
+		}
+	}
+}
+
 // The weights of a target are replaced: a newer wanted version was set. A request that is still queued at the target
 // shortly before the version bound is cancelled, and retried at another target if the route allows it.
 func TestQueuedRequestIsCancelledOnReplacedWeights(t *testing.T) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -5,11 +5,9 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
@@ -52,6 +50,10 @@
 	headWritten bool
 	// abort makes Relay panic with http.ErrAbortHandler.
 	abort bool
+	// causes are what may crash targets: the request as a whole, and then the shared parts of its prompt. crashing is the
+	// one for which it was refused.
+	causes   []attributor.Cause
+	crashing attributor.Cause
 	// startTimer is the timer of the current attempt; nil for services without a model.
 	startTimer *startTimer
 	// firstEventAt is the time of the first event of the current attempt; zero before it.
@@ -165,10 +167,7 @@
 	if timeout := r.call.Timeout; timeout > 0 && timeout < route.Timeout {
 		r.deadline = r.call.ArrivedAt.Add(timeout)
 	}
-	if r.relayer.crashesTargets(r.fingerprint()) {
-		return unavailable(ReasonCrashesTargets, 0)
-	}
-	return nil
+	return r.admitCauses()
 }
 
 // choose returns a target that is expected to answer in time, or a refusal if there is none.
@@ -221,16 +220,6 @@
 	return ""
 }
 
-// fingerprint returns a hash of the account, the method, the URI and the body, which is the same for all
-// copies of a request.
-func (r *relayedRequest) fingerprint() uint64 {
-	account := ""
-	if r.account != nil {
-		account = r.account.Name
-	}
-	return xxh3.HashSeed(r.call.Body, xxh3.HashString(account+" "+r.call.Method+" "+r.call.URI))
-}
-
 // decideRetry returns nil if the request is sent again after an attempt whose answer was not forwarded completely,
 // and otherwise the response to the caller.
 func (r *relayedRequest) decideRetry(ctx context.Context, result attemptResult, choice placer.Choice) *Refusal {
@@ -253,7 +242,7 @@
 		return unavailable(ReasonShed, shedRetryAfter)
 	}
 	if result == broken {
-		r.recordStrike(choice.Target)
+		r.recordBroken(choice.Target)
 	}
 	mayRetry := r.route.Retryable() && r.runs < r.route.MaxAttempts && r.sends < maxSends
 	if mayRetry && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
@@ -314,7 +303,7 @@
 		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.sends, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
-		"cause", errorText(r.cause))
+		"crashing", r.crashingName(), "cause", errorText(r.cause))
 }
 
 // lastSharedPart returns the id of the last part that other requests share, or the empty string if the prompt has only
@@ -326,14 +315,6 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
-// sharedPartIDs returns the ids of the parts that other requests may share.
-func sharedPartIDs(prompt Prompt) (ids []string) {
-	for _, part := range prompt.Parts[:max(len(prompt.Parts)-1, 0)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 // sharedTokensToRead returns how many tokens of the shared parts the target was expected to read.
 func (r *relayedRequest) sharedTokensToRead() int {
 	if len(r.call.Prompt.Parts) < 2 {
@@ -355,17 +336,3 @@
 	}
 	return err.Error()
 }
-
-// recordStrike records that the connection to the target broke while it ran the request.
-func (r *relayedRequest) recordStrike(target placer.Target) {
-	if r.relayer.settings.Strikes == nil {
-		return
-	}
-	r.relayer.settings.Logger.Info("strike", "id", r.call.ID, "target", target.ID, "parts", strings.Join(sharedPartIDs(r.call.Prompt), " "),
-		"begun", !r.firstEventAt.IsZero(), "cause", errorText(r.cause))
-	r.relayer.settings.Strikes.Strike(r.fingerprint(), uint64(target.Hash()))
-}
-
-func (r *Relayer) crashesTargets(fingerprint uint64) bool {
-	return r.settings.Strikes != nil && r.settings.Strikes.CrashesTargets(fingerprint)
-}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -65,6 +65,7 @@
 		r.writeHead(response)
 	}
 	r.result = ResultAnswered
+	r.recordCompletion(response.Status, response.Delimited)
 	return answered
 }
 
