upgrader: the holder takes its lock back if the store kept its lease

The holder's lease ends by its own clock, the store keeps it, the key stays, and no event tells the holder. Change: each step looks whether the key is its own.

--- a/upgrader/lock.go
+++ b/upgrader/lock.go
@@ -186,8 +186,17 @@
 	if fencingToken != 0 && locked && holder.Version > fencingToken {
 		u.stepDown("another daemon has taken it")
 	}
+	u.takeOwnLock()
+	u.Wake()
+}
+
+// takeOwnLock makes this daemon the holder if the lock's key is its own. Beside a lost answer, that is the case if the
+// store was away for longer than the lease seemed valid here, and kept the lease and the key meanwhile.
+func (u *Upgrader) takeOwnLock() {
+	u.mu.Lock()
+	holder, locked := u.keys[holderKey]
+	u.mu.Unlock()
 	if locked && u.isOwnAcquisition(holder) {
 		u.becomeHolder(holder.Version)
 	}
-	u.Wake()
 }
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -309,11 +309,12 @@
 	return idleInterval
 }
 
-// step acquires the update lock if it is free, and starts the next updates if this daemon holds it.
+// step acquires the update lock if it is free or still this daemon's, and starts the next updates if this daemon holds it.
 func (u *Upgrader) step(ctx context.Context) {
 	if !u.leaseValid() {
 		u.stepDown("the lease has ended")
 	}
+	u.takeOwnLock()
 	if u.shouldAcquire() {
 		u.acquire(ctx)
 	}
--- a/upgrader/upgrader_test.go
+++ b/upgrader/upgrader_test.go
@@ -449,6 +449,34 @@
 	}, "a", "b", "c")
 }
 
+// Guards against weights that are never replaced after the store was away while it kept the leases (VERSION): the holder
+// steps down since it cannot know that its lease goes on, and the lock's key, which nobody else may replace, stays.
+func TestHolderTakesLockBackAfterPausedLease(t *testing.T) {
+	runInVirtualTime(t, 12, func(f *fleet) {
+		f.setWanted(2)
+		time.Sleep(time.Second)
+		holder := f.daemons[f.holder()]
+		for name := range f.daemons {
+			f.isolate(name)
+		}
+		f.mu.Lock()
+		holder.leaseHeld = false
+		f.mu.Unlock()
+		time.Sleep(2 * leaseTTL)
+		f.mu.Lock()
+		holder.leaseHeld = true
+		clear(f.isolated)
+		for _, d := range f.daemons {
+			d.unrenewedSince = time.Time{}
+		}
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if versions := f.versions(); !slices.Equal(versions, []int64{2}) {
+			t.Errorf("the engines have versions %v, the lock belongs to %q", versions, f.holder())
+		}
+	}, "a", "b", "c")
+}
+
 // suspendHolder cuts the holder off until its lease has ended, and returns its name and when it was cut off.
 func (f *fleet) suspendHolder() (name string, at time.Time) {
 	name, at = f.holder(), time.Now()
