completer, runner: rilld serve refuses calls with a message that crashes engines

What callers saw: calls that differ but have one message in common crashed engine after engine (10 calls: 20 crashes), and the answers open there had to be resumed elsewhere. Change: the messages in front of the last one are causes for the attributor, with strikes from broken attempts, ends of incarnations from the detector, and a gossip topic of their own. The attributor now gets the names of the other daemons itself (SetPeers), which both kinds of daemons know.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/zeebo/errs"
-	"github.com/zeebo/xxh3"
 
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
@@ -76,6 +75,8 @@
 	// its expiry: datagrams to a stopped daemon are lost, and the others take over its work as soon as
 	// they stop receiving its datagrams.
 	presenceTTL = 12 * time.Second
+	// strikesPerMessage bounds the strikes in a datagram, so that it fits into one packet.
+	strikesPerMessage = 32
 	// daemonsPrefix is the prefix of all keys that daemons write.
 	daemonsPrefix = "rill/"
 	// hostsPrefix is the prefix of the daemons' presence entries.
@@ -102,28 +103,6 @@
 	placer               *placer.Placer
 	attributor           *attributor.Attributor
 	upgrader             *upgrader.Upgrader
-	// registeredPeers are the names of the other daemons; nil before they are known.
-	registeredPeers atomic.Pointer[[]string]
-}
-
-// peerNames returns the names of the other daemons.
-func (v *deploymentView) peerNames() []string {
-	if names := v.registeredPeers.Load(); names != nil {
-		return *names
-	}
-	return nil
-}
-
-// rank returns the position of the named daemon, which is this one, among all daemons, in an order that depends on the
-// cause.
-func (v *deploymentView) rank(self string, cause attributor.Cause) (rank int) {
-	score := func(name string) uint64 { return xxh3.HashStringSeed(name, uint64(cause)) }
-	for _, peer := range v.peerNames() {
-		if score(peer) > score(self) {
-			rank++
-		}
-	}
-	return rank
 }
 
 // Catalog returns the current configuration, or nil before the first was read.
@@ -145,7 +124,7 @@
 // Export returns the state to send to the other daemons.
 func (v *deploymentView) Export() placer.PeerUpdate {
 	update := v.placer.Export()
-	update.Strikes, update.Completions = v.attributor.Export()
+	update.Strikes, update.Completions = v.attributor.Export(strikesPerMessage)
 	update.UpgradePlan = v.upgrader.Plan()
 	return update
 }
@@ -248,8 +227,7 @@
 		Seed: rand.Uint64(),
 	})
 	v.attributor = attributor.New(attributor.Settings{
-		KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
-		Rank: func(cause attributor.Cause) int { return v.rank(d.settings.Name, cause) }, Daemons: func() int { return len(v.peerNames()) + 1 },
+		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
 	})
 	v.declarations = tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: decodeDeclaration,
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -95,7 +95,7 @@
 		receivers = append(receivers, broadcastPeer(peer))
 		names = append(names, receivers[len(receivers)-1].Name)
 	}
-	d.view.registeredPeers.Store(&names)
+	d.view.attributor.SetPeers(names)
 	d.broadcaster.SetPeers(receivers)
 	d.view.placer.SetDaemonCount(len(peers) + 1)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -73,16 +73,19 @@
 // cause for another model.
 func PartCause(model, part string) Cause { return Cause(xxh3.HashString("part " + model + " " + part)) }
 
-// Settings are the parameters of an Attributor. Refuses, Rank and Daemons are optional.
+// NamedIncarnation returns the number that identifies an incarnation of a target by their names.
+func NamedIncarnation(target, incarnation string) uint64 {
+	return xxh3.HashStringSeed(incarnation, xxh3.HashString(target))
+}
+
+// Settings are the parameters of an Attributor. KnowsIncarnation and Refuses are optional.
 type Settings struct {
-	// KnowsIncarnation reports whether an incarnation is still listed.
+	// Name is the name of this daemon.
+	Name string
+	// KnowsIncarnation reports whether an incarnation is still listed. Without it, incarnations end by ReportEnded only.
 	KnowsIncarnation func(incarnation uint64) bool
 	// Refuses reports whether nothing listens at an address: whether its host refuses connections.
 	Refuses func(ctx context.Context, address netip.AddrPort) bool
-	// Rank returns the position of this daemon among all daemons, from zero, in an order that depends on the cause.
-	Rank func(cause Cause) int
-	// Daemons returns the number of daemons.
-	Daemons func() int
 	Now     func() time.Time
 }
 
@@ -106,15 +109,14 @@
 	records      recordTable
 	incarnations incarnationTable
 	outbox       outbox
+	// peers are the names of the other daemons.
+	peers []string
 }
 
 // New returns an Attributor without strikes.
 func New(settings Settings) *Attributor {
-	if settings.Rank == nil {
-		settings.Rank = func(Cause) int { return 0 }
-	}
-	if settings.Daemons == nil {
-		settings.Daemons = func() int { return 1 }
+	if settings.KnowsIncarnation == nil {
+		settings.KnowsIncarnation = func(uint64) bool { return true }
 	}
 	a := &Attributor{settings: settings, records: make(recordTable), incarnations: newIncarnationTable(settings.KnowsIncarnation)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -144,22 +146,52 @@
 	}
 }
 
-// check finds out whether the incarnation has ended.
-func (a *Attributor) check(incarnation uint64, address netip.AddrPort) {
-	if !a.settings.Refuses(a.ctx, address) {
-		return
+// SetPeers sets the names of the other daemons.
+func (a *Attributor) SetPeers(names []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peers = slices.Clone(names)
+}
+
+// rank returns the position of this daemon among all daemons, from zero, in an order that depends on the cause.
+func (a *Attributor) rank(cause Cause) (rank int) {
+	score := func(name string) uint64 { return xxh3.HashStringSeed(name, uint64(cause)) }
+	for _, peer := range a.peers {
+		if score(peer) > score(a.settings.Name) {
+			rank++
+		}
 	}
+	return rank
+}
+
+// ReportEnded records that an incarnation has ended.
+func (a *Attributor) ReportEnded(incarnation uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.end(incarnation)
+}
+
+// end records that an incarnation has ended, and lets a strike tell the peers.
+func (a *Attributor) end(incarnation uint64) {
 	a.incarnations.end(incarnation, a.settings.Now())
 	for cause, r := range a.records {
 		if r.has(incarnation) {
-			a.outbox.addStrike(strikeKey{cause, incarnation}) // One strike tells the peers that the incarnation has ended.
+			a.outbox.addStrike(strikeKey{cause, incarnation})
 			return
 		}
 	}
 }
 
+// check finds out whether the incarnation has ended.
+func (a *Attributor) check(incarnation uint64, address netip.AddrPort) {
+	if !a.settings.Refuses(a.ctx, address) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.end(incarnation)
+}
+
 // RecordCompletion records that the answer to a request with these causes is complete.
 func (a *Attributor) RecordCompletion(causes []Cause) {
 	a.mu.Lock()
@@ -187,7 +219,7 @@
 		hold := holdAfter(crashes)
 		due := crashes[len(crashes)-1].at.Add(hold)
 		r := a.records[cause]
-		if now.Before(due.Add(time.Duration(a.settings.Rank(cause))*trialStagger)) || now.Sub(r.trialAt) < hold {
+		if now.Before(due.Add(time.Duration(a.rank(cause))*trialStagger)) || now.Sub(r.trialAt) < hold {
 			return Verdict{Refused: true, Cause: cause, RetryAfter: max(due.Sub(now), trialStagger)}
 		}
 		trials = append(trials, r)
--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -17,6 +18,8 @@
 const (
 	part  attributor.Cause = 7
 	other attributor.Cause = 8
+	// maxExported is the number of strikes in a message.
+	maxExported = 32
 )
 
 // fleet is a set of daemons that exchange messages, with a virtual clock. The incarnations in live are listed.
@@ -38,22 +41,29 @@
 
 // start adds a daemon.
 func (f *fleet) start() *attributor.Attributor {
-	rank := len(f.daemons)
 	a := attributor.New(attributor.Settings{
+		Name:             fmt.Sprint("daemon ", len(f.daemons)),
 		KnowsIncarnation: func(i uint64) bool { return f.live[i] },
 		Refuses:          func(context.Context, netip.AddrPort) bool { return f.refused },
-		Rank:             func(attributor.Cause) int { return rank },
-		Daemons:          func() int { return len(f.daemons) },
 		Now:              func() time.Time { return f.now },
 	})
 	f.daemons = append(f.daemons, a)
+	for i, daemon := range f.daemons {
+		var peers []string
+		for other := range f.daemons {
+			if other != i {
+				peers = append(peers, fmt.Sprint("daemon ", other))
+			}
+		}
+		daemon.SetPeers(peers)
+	}
 	return a
 }
 
 // exchange passes a message of each daemon to all others.
 func (f *fleet) exchange() {
 	for _, from := range f.daemons {
-		strikes, completions := from.Export()
+		strikes, completions := from.Export(maxExported)
 		for _, to := range f.daemons {
 			if to != from {
 				to.Import(strikes, completions)
@@ -152,7 +162,7 @@
 	f.now = f.now.Add(time.Second)
 	f.daemons[0].RecordCompletion([]attributor.Cause{part})
 	for range 3 {
-		f.daemons[0].Export() // The messages are lost.
+		f.daemons[0].Export(maxExported) // The messages are lost.
 	}
 	if !refuses(f.daemons[1], part) {
 		t.Fatal("the daemon does not refuse the request although it knows of no completion")
@@ -284,7 +294,7 @@
 		lost := rapid.IntRange(0, 2).Draw(t, "lost message")
 		for message := range 3 {
 			for _, from := range f.daemons {
-				exported, completions := from.Export()
+				exported, completions := from.Export(maxExported)
 				for _, to := range f.daemons {
 					if to != from && message != lost {
 						to.Import(exported, completions)
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -7,8 +7,6 @@
 const (
 	// exportsPerItem is how many times a strike or a completion is sent to the peers, since datagrams may be lost.
 	exportsPerItem = 3
-	// maxExported bounds the strikes, and the completions, in one message. Further ones follow in the next.
-	maxExported = 32
 	// Each daemon repeats what it knows of suspect causes after repeatPerDaemon for each daemon, and not before
 	// minRepeat, so that daemons that have started learn it soon.
 	repeatPerDaemon = 100 * time.Millisecond
@@ -56,10 +54,10 @@
 	q.remaining[item] = max(q.remaining[item], times)
 }
 
-// next returns up to maxExported items for one message. Those that are to be sent again move to the end.
-func (q *queue[T]) next() (items []T) {
+// next returns up to limit items for one message. Those that are to be sent again move to the end.
+func (q *queue[T]) next(limit int) (items []T) {
 	for _, from := range []*[]T{&q.unsent, &q.sent} {
-		taken := min(len(*from), maxExported-len(items))
+		taken := min(len(*from), limit-len(items))
 		items = append(items, (*from)[:taken]...)
 		*from = (*from)[taken:]
 	}
@@ -83,13 +81,14 @@
 func (o *outbox) addStrike(key strikeKey)   { o.strikes.add(key, exportsPerItem) }
 func (o *outbox) addCompletion(cause Cause) { o.completions.add(cause, exportsPerItem) }
 
-// Export returns the strikes and completions for the next message to the peers.
-func (a *Attributor) Export() (strikes []Strike, completions []Completion) {
+// Export returns the strikes and completions for the next message to the peers, up to limit of each. Further ones follow in
+// the next message.
+func (a *Attributor) Export(limit int) (strikes []Strike, completions []Completion) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.settings.Now()
 	a.repeatSuspects(now)
-	for _, key := range a.outbox.strikes.next() {
+	for _, key := range a.outbox.strikes.next(limit) {
 		r := a.records[key.cause]
 		if r == nil {
 			continue
@@ -100,7 +99,7 @@
 			}
 		}
 	}
-	for _, cause := range a.outbox.completions.next() {
+	for _, cause := range a.outbox.completions.next(limit) {
 		if r := a.records[cause]; r != nil {
 			completions = append(completions, Completion{Cause: cause, Age: now.Sub(r.completedAt)})
 		}
@@ -110,7 +109,7 @@
 
 // repeatSuspects queues the strikes of suspect causes, if it is time to repeat them.
 func (a *Attributor) repeatSuspects(now time.Time) {
-	if now.Sub(a.outbox.repeatedAt) < max(minRepeat, time.Duration(a.settings.Daemons())*repeatPerDaemon) {
+	if now.Sub(a.outbox.repeatedAt) < max(minRepeat, time.Duration(len(a.peers)+1)*repeatPerDaemon) {
 		return
 	}
 	a.outbox.repeatedAt = now
--- a/completer/chooser.go
+++ b/completer/chooser.go
@@ -12,6 +12,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/limiter"
 	"github.com/rosemaryrill/rosemaryrill/pooler"
 	"github.com/rosemaryrill/rosemaryrill/quarantiner"
@@ -36,6 +37,8 @@
 	completer   *Completer
 	plan        *pooler.Plan
 	fingerprint quarantiner.Fingerprint
+	// causes are those of the messages that other calls may share.
+	causes []attributor.Cause
 
 	mu sync.Mutex
 	// answerWeights names the weights with which the answer began. Later attempts must use the same
@@ -52,6 +55,8 @@
 type inFlightAttempt struct {
 	routerAttempt *router.Attempt
 	loadedWeights string
+	// incarnation is that of the target when it was chosen; empty if it is not known.
+	incarnation string
 	// reportOutcome reports to the quarantine how the attempt ended.
 	reportOutcome func(quarantiner.Outcome)
 	// releaseSelectorSlot releases the slot within the selector's limits.
@@ -199,6 +204,9 @@
 // call. The quarantine may block, so trySelect returns a staleChoiceError if the target was
 // drained or denied in the meantime.
 func (c *chooser) trySelect(ctx context.Context, filter targetFilter) (selected selection, err error) {
+	if err := c.checkMessages(); err != nil {
+		return selection{}, err
+	}
 	selected.choice, selected.request, err = c.route(ctx, filter)
 	if err != nil {
 		return selection{}, err
@@ -283,6 +291,7 @@
 	c.inFlight[choice.Decision.Target] = &inFlightAttempt{
 		routerAttempt:       routerAttempt,
 		loadedWeights:       choice.Decision.Weights,
+		incarnation:         choice.Decision.Incarnation,
 		reportOutcome:       selected.reportOutcome,
 		releaseSelectorSlot: selected.releaseSelectorSlot,
 	}
@@ -333,6 +342,7 @@
 		return
 	}
 	f.routerAttempt.Finish()
+	c.recordMessages(target, f.incarnation, outcome)
 	f.reportOutcome(outcome)
 	f.releaseSelectorSlot()
 }
--- a/completer/completer.go
+++ b/completer/completer.go
@@ -112,10 +112,12 @@
 	Planner           Planner
 	AttemptRunner     AttemptRunner
 	Quarantine        Quarantine
-	BlockMover        BlockMover
-	Metrics           Metrics
-	Tracer            trace.Tracer
-	Log               *slog.Logger
+	// Crashes finds out which messages crash targets. Nil means that none is refused.
+	Crashes    CrashAttributor
+	BlockMover BlockMover
+	Metrics    Metrics
+	Tracer     trace.Tracer
+	Log        *slog.Logger
 }
 
 // Completer serves model calls.
@@ -178,7 +180,7 @@
 }
 
 func (c *Completer) run(ctx context.Context, request Request, plan *pooler.Plan, sink Sink) error {
-	targets := &chooser{completer: c, plan: plan, fingerprint: fingerprint(request), inFlight: make(map[string]*inFlightAttempt)}
+	targets := &chooser{completer: c, plan: plan, fingerprint: fingerprint(request), causes: sharedMessageCauses(request), inFlight: make(map[string]*inFlightAttempt)}
 	defer targets.finishRemaining()
 	recorder := &recordingSink{Sink: sink, chooser: targets}
 	outcome, err := c.settings.AttemptRunner.Run(ctx, streamer.Request{
--- a/runner/follow.go
+++ b/runner/follow.go
@@ -109,6 +109,7 @@
 	d.modelLimiter.SetPeers(names)
 	d.serviceLimiter.SetPeers(names)
 	d.selectorLimiter.SetPeers(names)
+	d.crashes.SetPeers(names)
 	d.pools.SetDaemonCount(len(names) + len(d.gossip.RemoteContacts()) + 1)
 }
 
--- a/runner/quarantine.go
+++ b/runner/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/detector"
 	"github.com/rosemaryrill/rosemaryrill/exchanger"
 	"github.com/rosemaryrill/rosemaryrill/gossiper"
@@ -62,7 +63,7 @@
 	}
 }
 
-// updateQuarantine reports to the quarantine whether the incarnation that a target had before
+// updateQuarantine reports to the quarantine and to the attributor of crashes whether the incarnation that a target had before
 // the change has crashed or is alive. A new incarnation or a refused connection counts as a
 // crash.
 func (d *Daemon) updateQuarantine(change detector.Change) {
@@ -75,6 +76,7 @@
 	switch {
 	case after.Incarnation != before.Incarnation, after.Reason == detector.ReasonRefused:
 		d.quarantine.ReportCrash(ctx, change.Target, before.Incarnation)
+		d.crashes.ReportEnded(attributor.NamedIncarnation(change.Target, before.Incarnation))
 	case after.State == detector.Live:
 		d.quarantine.ReportAlive(ctx, change.Target, after.Incarnation)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/commander"
 	"github.com/rosemaryrill/rosemaryrill/completer"
 	"github.com/rosemaryrill/rosemaryrill/configurator"
@@ -115,6 +116,7 @@
 	pools          *pooler.Pooler
 	poller         *poller.Poller[forwarder.CacheEvents]
 	quarantine     *quarantiner.Quarantiner
+	crashes        *attributor.Attributor
 	engineReports  *engineReports
 	receivedCopies *reporter.Holder
 	recorder       *reporter.Recorder
@@ -159,6 +161,7 @@
 		d.startPlatform,
 		d.startPeers,
 		d.startQuarantine,
+		d.startCrashes,
 		d.startRecord,
 		d.startConfiguration,
 		d.startTargets,
@@ -349,6 +352,7 @@
 			Planner:           d.pools,
 			AttemptRunner:     d.streamer,
 			Quarantine:        d.quarantine,
+			Crashes:           d.crashes,
 			BlockMover:        d.mover,
 			Metrics:           d.observer.Metrics(),
 			Tracer:            d.observer.Tracer(),
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -54,6 +54,7 @@
 	d.group.Wait()
 	group.Add(d.detector.Close())
 	d.quarantine.Close()
+	group.Add(d.crashes.Close())
 	group.Add(d.recorder.Close())
 	group.Add(d.receivedCopies.Close())
 	group.Add(d.targetClient.Close())
--- a/runner/topics.go
+++ b/runner/topics.go
@@ -23,6 +23,7 @@
 	topicSelectorUse = "selector_use"
 	topicQuarantine  = "quarantine"
 	topicHotPrefixes = "hot_prefixes"
+	topicCrashes     = "crashes"
 
 	// Hot prefixes may occupy 1/hotPrefixDivisor of the bytes that are left in a message, but at
 	// least minHotPrefixBytes if that many are left.
@@ -44,6 +45,7 @@
 		d.usageTopic(topicSelectorUse, func() *limiter.Limiter { return d.selectorLimiter }),
 		gossiper.FuncTopic{TopicName: topicHotPrefixes, ExportFunc: d.exportHotPrefixes, ImportFunc: d.importHotPrefixes},
 		gossiper.FuncTopic{TopicName: topicQuarantine, ExportFunc: d.exportQuarantine, ImportFunc: d.importQuarantine},
+		gossiper.FuncTopic{TopicName: topicCrashes, ExportFunc: d.exportCrashes, ImportFunc: d.importCrashes},
 	}
 }
 
