--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -44,6 +44,9 @@
 	// CrashOnPart is the id of a shared part of a prompt. The target crashes when it begins the answer to a request with
 	// that part. Empty disables this.
 	CrashOnPart string
+	// NamedLimit is the number of requests a second that the target names as its limit in all answers. It does not enforce
+	// the limit. Zero names none.
+	NamedLimit float64
 }
 
 // Run is a request that a target executed.
@@ -57,6 +60,8 @@
 	ResumedAfter string
 	// Authorization is the Authorization header that reached the target.
 	Authorization string
+	// At is when the target admitted the request.
+	At time.Time
 }
 
 // Target is an emulated engine or plain service on the hosting platform.
@@ -238,6 +243,9 @@
 	if t.settings.Model != "" {
 		header.Set("X-Weight-Versions", strconv.FormatInt(t.loadedVersion, 10))
 	}
+	if t.faults.NamedLimit > 0 {
+		header.Set("Server-Limit", strconv.FormatFloat(t.faults.NamedLimit, 'f', -1, 64))
+	}
 	expected := r.Header.Get("X-Expect-Version")
 	switch {
 	case r.Header.Get("X-Expect-Replica") != t.settings.ID:
@@ -253,7 +261,7 @@
 		t.running++
 		t.runs = append(t.runs, Run{
 			ID: r.Header.Get("X-Request-Id"), Target: t.settings.ID, Account: r.Header.Get("X-Tenant"), Weights: t.loadedVersion,
-			CacheSalt: r.Header.Get("X-Cache-Salt"), ResumedAfter: r.Header.Get("Last-Event-Id"), Authorization: r.Header.Get("Authorization"),
+			CacheSalt: r.Header.Get("X-Cache-Salt"), ResumedAfter: r.Header.Get("Last-Event-Id"), Authorization: r.Header.Get("Authorization"), At: time.Now(),
 		})
 		return t.faults, true
 	}
