--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -43,6 +43,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/ranker"
 )
 
 const (
@@ -153,17 +155,6 @@
 	a.peers = slices.Clone(names)
 }
 
-// rank returns the position of this daemon among all daemons, from zero, in an order that depends on the cause.
-func (a *Attributor) rank(cause Cause) (rank int) {
-	score := func(name string) uint64 { return xxh3.HashStringSeed(name, uint64(cause)) }
-	for _, peer := range a.peers {
-		if score(peer) > score(a.settings.Name) {
-			rank++
-		}
-	}
-	return rank
-}
-
 // ReportEnded records that an incarnation has ended.
 func (a *Attributor) ReportEnded(incarnation uint64) {
 	a.mu.Lock()
@@ -219,7 +210,7 @@
 		hold := holdAfter(crashes)
 		due := crashes[len(crashes)-1].at.Add(hold)
 		r := a.records[cause]
-		if now.Before(due.Add(time.Duration(a.rank(cause))*trialStagger)) || now.Sub(r.trialAt) < hold {
+		if now.Before(due.Add(time.Duration(ranker.Position(a.settings.Name, a.peers, uint64(cause)))*trialStagger)) || now.Sub(r.trialAt) < hold {
 			return Verdict{Refused: true, Cause: cause, RetryAfter: max(due.Sub(now), trialStagger)}
 		}
 		trials = append(trials, r)
