placer: daemons share the limit that a target in need names

Cause: no code read the limit, so each daemon sent by load only. Class: a bound that holds for a sum over all daemons, and is known to one of them at a time. Change: the codec decodes the limit, the placer keeps it and tells the peers, and as many daemons as the limit has whole requests a second share it, one at least, each with at most one request saved up. In any 4 s that is at most five times the limit, whatever the size of the fleet; six times and five more are allowed. An answer without a limit to a request sent after the last one that named it ends it. Refusals while all targets are at their limits tell when one takes a request again.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -223,7 +223,7 @@
 func (d *Daemon) newDeploymentView() *deploymentView {
 	v := &deploymentView{}
 	v.placer = placer.New(placer.Settings{
-		DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
+		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		Seed: rand.Uint64(),
 	})
 	v.attributor = attributor.New(attributor.Settings{
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -97,7 +97,7 @@
 	}
 	d.view.attributor.SetPeers(names)
 	d.broadcaster.SetPeers(receivers)
-	d.view.placer.SetDaemonCount(len(peers) + 1)
+	d.view.placer.SetPeers(names)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
 	d.cachePolling.mu.Lock()
 	defer d.cachePolling.mu.Unlock()
--- a/broadcaster/aggregate.go
+++ b/broadcaster/aggregate.go
@@ -25,6 +25,7 @@
 	holdings    []placer.Holding
 	strikes     []attributor.Strike
 	completions []attributor.Completion
+	limits      []placer.RateLimit
 }
 
 func (n *news) add(update placer.PeerUpdate) {
@@ -32,6 +33,7 @@
 	n.holdings = append(n.holdings, update.Holdings[:min(len(update.Holdings), room)]...)
 	n.strikes = append(n.strikes, update.Strikes...)
 	n.completions = append(n.completions, update.Completions...)
+	n.limits = append(n.limits, update.RateLimits...)
 }
 
 // aggregate collects what an aggregator receives, and combines it into the messages that it sends.
@@ -122,7 +124,7 @@
 	sum.add(own.Loads)
 	sum.addAll(a.members)
 	local := placer.PeerUpdate{
-		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes, Completions: a.localNews.completions,
+		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes, Completions: a.localNews.completions, RateLimits: a.localNews.limits,
 		AnnouncedVersions: own.AnnouncedVersions, UpgradePlan: plan,
 	}
 	sum.addAll(a.remote)
@@ -132,6 +134,7 @@
 	fleet.Holdings = slices.Concat(local.Holdings, a.remoteNews.holdings)
 	fleet.Strikes = slices.Concat(local.Strikes, a.remoteNews.strikes)
 	fleet.Completions = slices.Concat(local.Completions, a.remoteNews.completions)
+	fleet.RateLimits = slices.Concat(local.RateLimits, a.remoteNews.limits)
 	a.localNews, a.remoteNews = news{}, news{}
 	return Message{Sender: self.Name, Scope: ScopeDataCentre, Update: local},
 		Message{Sender: self.Name, Scope: ScopeFleet, Update: fleet, Members: a.memberHashes()}
--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -42,11 +42,12 @@
 
 	strikes     []attributor.Strike
 	completions []attributor.Completion
+	limits      []placer.RateLimit
 }
 
 func (d *simulatedDaemon) Export() placer.PeerUpdate {
 	update := d.own
-	d.own.Holdings, d.own.Strikes, d.own.Completions = nil, nil, nil
+	d.own.Holdings, d.own.Strikes, d.own.Completions, d.own.RateLimits = nil, nil, nil, nil
 	return update
 }
 
@@ -57,6 +58,7 @@
 	d.holdings = append(d.holdings, update.Holdings...)
 	d.strikes = append(d.strikes, update.Strikes...)
 	d.completions = append(d.completions, update.Completions...)
+	d.limits = append(d.limits, update.RateLimits...)
 	if update.UpgradePlan.FencingToken >= d.plan.FencingToken {
 		d.plan = update.UpgradePlan
 	}
--- /dev/null
+++ b/broadcaster/limit_test.go
@@ -0,0 +1,37 @@
+package broadcaster_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/broadcaster"
+	"github.com/rosemaryrill/rosemaryrill/placer"
+)
+
+func TestRateLimitsAreEncoded(t *testing.T) {
+	want := broadcaster.Message{Sender: "d1", Update: placer.PeerUpdate{RateLimits: []placer.RateLimit{
+		{Target: 1 << 63, Limited: true, PerSecond: 2.5, Age: time.Second},
+		{Target: 2, Limited: true},
+		{Target: 3, Age: 50 * time.Millisecond},
+	}}}
+	if decoded, err := broadcaster.Decode(want.Encode()[0]); err != nil || !reflect.DeepEqual(decoded, want) {
+		t.Errorf("decoded %+v, %v", decoded, err)
+	}
+}
+
+// A limit of which one daemon hears reaches all others, also through aggregators.
+func TestRateLimitsReachTheFleet(t *testing.T) {
+	for _, count := range []int{9, 40} {
+		f := newSimulatedFleet(count, 3)
+		f.run(t, 2*time.Second)
+		limit := placer.RateLimit{Target: 7, Limited: true, PerSecond: 3}
+		f.daemons[1].own.RateLimits = []placer.RateLimit{limit}
+		f.run(t, maxWorkAge)
+		for i, d := range f.daemons {
+			if i != 1 && (len(d.limits) == 0 || d.limits[0] != limit) {
+				t.Errorf("daemon %d of %d got %+v", i, count, d.limits)
+			}
+		}
+	}
+}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -30,6 +30,7 @@
 	fieldLoadsOmitted protowire.Number = 10
 	fieldMembers      protowire.Number = 11
 	fieldCompletion   protowire.Number = 12
+	fieldRateLimit    protowire.Number = 13
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -42,8 +43,10 @@
 	fieldVersion        protowire.Number = 2
 	fieldCause          protowire.Number = 1
 	fieldIncarnation    protowire.Number = 2
-	// fieldExtra is the hash of an upgraded target, or an age in milliseconds: of an announced version, a strike or a
-	// completion.
+	// fieldLimit is a rate limit in thousandths of a request a second, plus one; zero means that there is no limit.
+	fieldLimit protowire.Number = 2
+	// fieldExtra is the hash of an upgraded target, or an age in milliseconds: of an announced version, a strike, a
+	// completion or a rate limit.
 	fieldExtra protowire.Number = 3
 	// fieldEnded is 1 in a strike whose incarnation is known to have ended.
 	fieldEnded protowire.Number = 4
@@ -112,6 +115,9 @@
 	for _, completion := range m.Update.Completions {
 		datagram = appendVarints(datagram, fieldCompletion, uint64(completion.Cause), 0, milliseconds(completion.Age))
 	}
+	for _, limit := range m.Update.RateLimits {
+		datagram = appendVarints(datagram, fieldRateLimit, uint64(limit.Target), limitNumber(limit), milliseconds(limit.Age))
+	}
 	datagram = appendMembers(datagram, m.Members)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
@@ -124,6 +130,28 @@
 	return time.Duration(s.numbers[fieldExtra]) * time.Millisecond
 }
 
+// limitUnit is the number that stands for one request a second in messages, and maxLimit the largest limit in them.
+const (
+	limitUnit = 1000
+	maxLimit  = 1e9
+)
+
+// limitNumber returns fieldLimit of a rate limit.
+func limitNumber(limit placer.RateLimit) uint64 {
+	if !limit.Limited {
+		return 0
+	}
+	return 1 + uint64(min(max(limit.PerSecond, 0), maxLimit)*limitUnit)
+}
+
+func (s submessage) rateLimit() placer.RateLimit {
+	limit := placer.RateLimit{Target: placer.TargetHash(s.numbers[fieldTarget]), Age: s.age()}
+	if number := s.numbers[fieldLimit]; number > 0 {
+		limit.Limited, limit.PerSecond = true, float64(number-1)/limitUnit
+	}
+	return limit
+}
+
 func boolNumber(value bool) uint64 {
 	if value {
 		return 1
@@ -252,6 +280,8 @@
 		update.UpgradePlan.Upgraded = append(update.UpgradePlan.Upgraded, s.upgradedTarget())
 	case fieldStrike:
 		update.Strikes = append(update.Strikes, s.strike())
+	case fieldRateLimit:
+		update.RateLimits = append(update.RateLimits, s.rateLimit())
 	case fieldCompletion:
 		update.Completions = append(update.Completions, attributor.Completion{Cause: attributor.Cause(s.numbers[fieldCause]), Age: s.age()})
 	case fieldAnnouncedVersion:
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -35,6 +35,7 @@
 	a.work.pendingPrefill[call.Urgency] = best.prefillTokens + overheadTokens(call)
 	a.measurable = t.combinedWork().pendingPrefill.total() == 0 && best.fetchedTokens == 0
 	t.localWork.add(a.work)
+	t.limit.take()
 	t.startAnswerTimeout(best.expected, now)
 	a.addedParts = p.recordPlacement(t, call, best, now)
 	return a
@@ -74,7 +75,7 @@
 }
 
 // daemonCount returns the number of daemons, including this one.
-func (p *Placer) daemonCount() int { return max(p.daemons, len(p.peers)+1) }
+func (p *Placer) daemonCount() int { return max(len(p.peerNames), len(p.peers)) + 1 }
 
 // maxUnsharedFactor bounds the factor by which a small unshared part stands for those of all daemons. A larger one would
 // push most of what the engine holds out of its modelled cache at once.
--- a/placer/chain_test.go
+++ b/placer/chain_test.go
@@ -52,7 +52,7 @@
 func TestLargeFleetsAnnounceOnlySharedParts(t *testing.T) {
 	for _, fleet := range []struct{ daemons, holdings int }{{7, 2}, {200, 1}} {
 		f := newFixture(t, 1)
-		f.placer.SetDaemonCount(fleet.daemons)
+		f.placer.SetPeers(make([]string, fleet.daemons-1))
 		f.choose(longCall("book"))
 		if update := f.placer.Export(); len(update.Holdings) != fleet.holdings {
 			t.Errorf("%d daemons: a call announces %d parts, want %d", fleet.daemons, len(update.Holdings), fleet.holdings)
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -70,7 +71,8 @@
 	return p.store.Address
 }
 
-// Choose returns the target with the lowest cost among those whose ids are not excluded. It counts the work of the
+// Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits. It
+// counts the work of the
 // call at that target until Attempt.Finish is called. Targets that recently refused a request, whose connection
 // recently failed or whose answer is overdue are considered only if no other target can accept the call. The error is a
 // NoTargetError if no target can accept the call, and a NotInTimeError if the first event is expected too late.
@@ -134,16 +136,21 @@
 func (p *Placer) bestCandidate(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
 	var candidates []candidate
 	index := p.newHolderIndex(call, now)
+	retryAfter := time.Duration(0)
 	for _, t := range p.byService[call.Service] {
 		if t.Leaving || t.gone || slices.Contains(excluded, t.ID) || !allowed(t) {
 			continue
 		}
+		if wait := p.limitWait(t, now); wait > 0 {
+			retryAfter = min(cmp.Or(retryAfter, wait), wait)
+			continue
+		}
 		if c := p.estimate(t, index); p.weightsUsable(c, call.Model, now) {
 			candidates = append(candidates, c)
 		}
 	}
 	if len(candidates) == 0 {
-		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: defaultRetryAfter}
+		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: max(retryAfter, defaultRetryAfter)}
 	}
 	p.preferHome(call, candidates)
 	return slices.MinFunc(candidates, func(a, b candidate) int { return int(a.cost - b.cost) }), nil
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -121,6 +121,8 @@
 
 // Settings are the parameters of a Placer.
 type Settings struct {
+	// Name is the name of the daemon.
+	Name string
 	// DataCentre is the data centre of the daemon.
 	DataCentre string
 	Now        func() time.Time
@@ -190,8 +192,8 @@
 	byHash    map[TargetHash]*target
 	rates     map[string]*prefillEstimator // by service
 	store     *partStore
-	// daemons is the number of daemons, as last set by SetDaemonCount.
-	daemons int
+	// peerNames are the names of the other daemons, as last set by SetPeers.
+	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
 	pendingHoldings []Holding
 	// unsharedPartCount numbers the parts that belong to one call alone; unsharedPartSeed keeps their keys distinct
--- a/placer/target.go
+++ b/placer/target.go
@@ -80,6 +80,8 @@
 	peerWork work
 	cached   *partCache
 
+	limit rateLimit
+
 	// gone is set once an answer shows that the incarnation accepts no more requests, whatever Leaving reports.
 	gone bool
 	// upgradingUntil is the time until which the target gets no requests, because its weights are being upgraded.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -112,12 +112,20 @@
 	return broken
 }
 
-// recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, the
-// version of its weights, and whether it refused the request or is gone.
+// recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, its rate
+// limit, the version of its weights, and whether it refused the request or is gone.
 func (r *relayedRequest) recordTargetState(choice placer.Choice, answer Answer) {
 	if answer.Requests >= 0 {
 		choice.Attempt.RecordRequestCount(answer.Requests)
 	}
+	r.rateLimit = answer.RateLimit
+	switch {
+	case answer.OtherTarget: // What it says of a limit concerns the other target.
+	case answer.RateLimit >= 0:
+		choice.Attempt.RecordRateLimit(answer.RateLimit)
+	case !answer.NotRun:
+		choice.Attempt.RecordNoRateLimit()
+	}
 	switch {
 	case answer.OtherTarget:
 		choice.Attempt.RecordTargetGone()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -90,6 +90,9 @@
 	Weights int64
 	// Requests is the number of running and waiting requests at the target; negative if it reports none.
 	Requests int
+	// RateLimit is the number of requests a second that the target takes from all daemons together; negative if it names
+	// none.
+	RateLimit float64
 }
 
 // Codec translates calls and answers to and from the HTTP headers of the platform.
@@ -209,7 +212,7 @@
 // was written cannot be completed, so that the server closes the connection and the caller can tell that the
 // answer is incomplete.
 func (r *Relayer) Relay(ctx context.Context, w http.ResponseWriter, call *Call) {
-	request := &relayedRequest{relayer: r, call: call, writer: w, ctx: ctx}
+	request := &relayedRequest{relayer: r, call: call, writer: w, ctx: ctx, rateLimit: -1}
 	endSpan := request.traceRequest()
 	request.relay()
 	request.report()
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -66,7 +66,9 @@
 	choice           placer.Choice
 	timeToFirstEvent time.Duration
 	status           int
-	cause            error
+	// rateLimit is the limit that the last answer named; negative if it named none.
+	rateLimit float64
+	cause     error
 }
 
 // attemptResult is the way in which one attempt ended.
@@ -303,7 +305,7 @@
 		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.sends, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
-		"crashing", r.crashingName(), "cause", errorText(r.cause))
+		"rate_limit", r.rateLimit, "crashing", r.crashingName(), "cause", errorText(r.cause))
 }
 
 // lastSharedPart returns the id of the last part that other requests share, or the empty string if the prompt has only
