assembler, relayer: a file for the view, one for the coordination, and attempts by their name

Moves and one rename (fields sends and maxSends of a relayed request, which count attempts); no code changes otherwise, and the log keeps its key.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -15,7 +15,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -23,15 +22,11 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
-	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/follower"
-	"github.com/rosemaryrill/rosemaryrill/leaser"
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/observer"
-	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
@@ -92,60 +87,6 @@
 	DebugComponents []string
 }
 
-// deploymentView is the daemon's view of its deployment: the configuration, the targets and the other
-// daemons, as read from the store and received from peers.
-type deploymentView struct {
-	declarations         *tracker.DeclarationTracker
-	targets              *tracker.TargetTracker
-	peers                *tracker.PeerTracker
-	followers            []*follower.Follower
-	declarationsFollower *follower.Follower
-	placer               *placer.Placer
-	attributor           *attributor.Attributor
-	upgrader             *upgrader.Upgrader
-}
-
-// Catalog returns the current configuration, or nil before the first was read.
-func (v *deploymentView) Catalog() *cataloger.Catalog { return v.declarations.Catalog() }
-
-// ContactAge returns the time since the configuration was last known to be the newest.
-func (v *deploymentView) ContactAge() time.Duration { return v.declarationsFollower.ContactAge() }
-
-// Complete reports whether the configuration, the targets and the daemons were read at least once.
-func (v *deploymentView) Complete() bool {
-	for _, f := range v.followers {
-		if !f.Listed() {
-			return false
-		}
-	}
-	return v.Catalog() != nil
-}
-
-// Export returns the state to send to the other daemons.
-func (v *deploymentView) Export() placer.PeerUpdate {
-	update := v.placer.Export()
-	update.Strikes, update.Completions = v.attributor.Export(strikesPerMessage)
-	update.UpgradePlan = v.upgrader.Plan()
-	return update
-}
-
-// Import merges the state received from another daemon.
-func (v *deploymentView) Import(peer string, update placer.PeerUpdate) {
-	v.placer.Import(peer, update)
-	v.upgrader.ApplyPlan(update.UpgradePlan)
-	v.attributor.Import(update.Strikes, update.Completions)
-}
-
-// coordination holds this daemon's two leases in the store and its upgrader. Only one daemon's upgrader at a
-// time updates the weights of the engines, for the whole deployment.
-type coordination struct {
-	// presenceLease is the lease of this daemon's presence entry.
-	presenceLease *leaser.Leaser
-	// upgraderLease is the lease to which the upgrader binds the update lock.
-	upgraderLease *leaser.Leaser
-	upgrader      *upgrader.Upgrader
-}
-
 // Daemon is a running daemon on a hosting platform.
 type Daemon struct {
 	settings     Settings
@@ -220,72 +161,6 @@
 	return d, nil
 }
 
-func (d *Daemon) newDeploymentView() *deploymentView {
-	v := &deploymentView{}
-	v.placer = placer.New(placer.Settings{
-		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
-		Seed: rand.Uint64(),
-	})
-	v.attributor = attributor.New(attributor.Settings{
-		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
-	})
-	v.declarations = tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
-		Decode: decodeDeclaration,
-		OnCatalog: func(catalog *cataloger.Catalog) {
-			v.placer.SetEngines(engineCapacities(catalog))
-			v.placer.SetCacheStore(cacheStore(catalog))
-			d.cachePolling.setCacheStore(catalog)
-		},
-		OnWeights: func(weights tracker.Weights) {
-			d.logger.Info("operators requested new weights", "model", weights.Model, "version", weights.Version)
-			v.placer.SetWantedVersion(weights.Model, weights.Version, !d.starting())
-			d.coordination.upgrader.Wake()
-		},
-		Logger: d.loggerFor("tracker"),
-	})
-	v.targets = tracker.NewTargetTracker(tracker.TargetTrackerSettings{
-		Decode: platform.DecodeTarget, OnChange: d.applyTargets, Logger: d.loggerFor("tracker"),
-	})
-	v.peers = tracker.NewPeerTracker(tracker.PeerTrackerSettings{
-		OwnAddress: d.settings.PeersAdvertise, Logger: d.loggerFor("tracker"),
-		OnChange: d.applyPeers,
-	})
-	return v
-}
-
-// starting reports whether the daemon started less than a second ago, so that an entry that it reads
-// for the first time may have been written long before.
-func (d *Daemon) starting() bool { return time.Since(d.startTime) < time.Second }
-
-func (d *Daemon) newCoordination() coordination {
-	ttl := d.settings.Hosted.LeaseTime * 2 / 3
-	presence := leaser.New(leaser.Settings{
-		Store: d.store, TTL: presenceTTL, Logger: d.loggerFor("leaser"),
-		Key: hostsPrefix + d.settings.Name, Value: tracker.EncodePeer(tracker.Peer{
-			Address: d.settings.PeersAdvertise, DataCentre: d.settings.DataCentre, LinkMegabits: d.settings.Hosted.LinkMegabits,
-		}),
-	})
-	lease := leaser.New(leaser.Settings{
-		Store: d.store, TTL: ttl, RenewalInterval: func() time.Duration { return d.renewalInterval(ttl) }, Logger: d.loggerFor("leaser"),
-		OnDemand: true, OnAcquired: func() { d.coordination.upgrader.Wake() },
-	})
-	return coordination{presenceLease: presence, upgraderLease: lease, upgrader: upgrader.New(upgrader.Settings{
-		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.EngineClient{Connector: d.connector},
-		Placer: d.view.placer, Logger: d.loggerFor("upgrader"), TakeOverDelay: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
-		OnPlanChange: func() { d.broadcaster.SendNow() },
-	})}
-}
-
-// renewalInterval returns the time between two renewals of the upgrader's lease. The holder of the update
-// lock renews it more often, since it sends orders only while the last renewal is younger than
-// upgrader.MaxOrderLeaseAge.
-func (d *Daemon) renewalInterval(ttl time.Duration) time.Duration {
-	if d.coordination.upgrader != nil && d.coordination.upgrader.HoldsLock() {
-		return upgrader.MaxOrderLeaseAge / 3
-	}
-	return ttl / 3
-}
-
 // createFollowers creates one follower for each prefix of the store that the daemon watches.
 func (d *Daemon) createFollowers() {
 	v := d.view
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -20,7 +20,7 @@
 // attempt sends the request to the chosen target and forwards the answer. It returns the result and the choice.
 func (r *relayedRequest) attempt(ctx context.Context, choice placer.Choice) (result attemptResult, attempted placer.Choice) {
 	defer choice.Attempt.Finish()
-	r.sends++
+	r.attempts++
 	r.target, r.version, r.choice = choice.Target.ID, choice.Version, choice
 	r.startTimer, r.firstEventAt = nil, time.Time{}
 	if choice.Version > 0 {
@@ -186,7 +186,7 @@
 // reserveRetry reports whether a request that failed at the target may be sent to another target, and
 // withdraws from the retry budget if so. If it returns false, forwardPlain forwards the failure to the caller.
 func (r *relayedRequest) reserveRetry() bool {
-	return r.route.Retryable() && r.runs < r.route.MaxAttempts && r.sends < maxSends &&
+	return r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts &&
 		r.relayer.settings.RetryBudget.TryWithdraw(r.service)
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxSends bounds the attempts of one request, including those that targets reject.
-	maxSends = 4
+	// maxAttempts bounds the attempts of one request, including those that targets reject.
+	maxAttempts = 4
 	// responseMargin is the time before the deadline that is reserved for sending the answer to the caller.
 	responseMargin = 10 * time.Millisecond
 	// shedRetryAfter is the retry delay for requests that no target has run and for which the placer returned no
@@ -40,8 +40,8 @@
 	service  string
 	deadline time.Time
 
-	// sends counts the attempts, and runs those that a target may have run.
-	sends        int
+	// attempts counts the attempts, and runs those that a target may have run.
+	attempts     int
 	runs         int
 	triedTargets []string
 	// lastEventID is the id of the last event that was forwarded to the caller.
@@ -233,12 +233,12 @@
 		return unavailable(ReasonNotInTime, shedRetryAfter)
 	case result == failedAtTarget:
 		return nil // reserveRetry has already withdrawn from the retry budget.
-	case result == unsent && r.sends < maxSends:
+	case result == unsent && r.attempts < maxAttempts:
 		return nil
 	case result == unsent && r.runs == 0:
 		return unavailable(ReasonUnreachable, shedRetryAfter)
 	case result == rejected && r.runs == 0:
-		if r.sends < maxSends && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
+		if r.attempts < maxAttempts && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
 			return nil
 		}
 		return unavailable(ReasonShed, shedRetryAfter)
@@ -246,7 +246,7 @@
 	if result == broken {
 		r.recordBroken(choice.Target)
 	}
-	mayRetry := r.route.Retryable() && r.runs < r.route.MaxAttempts && r.sends < maxSends
+	mayRetry := r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts
 	if mayRetry && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
 		return nil
 	}
@@ -286,7 +286,7 @@
 func (r *relayedRequest) report() {
 	total := time.Since(r.call.ArrivedAt)
 	outcome := Outcome{
-		Result: r.result, NotRun: r.runs == 0, Attempts: r.sends, TimeToFirstEvent: r.timeToFirstEvent, Total: total,
+		Result: r.result, NotRun: r.runs == 0, Attempts: r.attempts, TimeToFirstEvent: r.timeToFirstEvent, Total: total,
 		PrefillTokens: r.choice.PrefillTokens, Prompt: r.call.Prompt,
 	}
 	var version int64
@@ -302,7 +302,7 @@
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
 		"target", r.target, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
 		"read", r.choice.PrefillTokens, "ahead", r.choice.QueuedPrefillTokens, "in_hand", r.choice.Requests,
-		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.sends, "runs", r.runs,
+		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
 		"rate_limit", r.rateLimit, "crashing", r.crashingName(), "cause", errorText(r.cause))
--- a/relayer/trace.go
+++ b/relayer/trace.go
@@ -28,7 +28,7 @@
 		}
 		span.SetAttributes(
 			attribute.String("result", r.result), attribute.Int("status", r.status),
-			attribute.Int("sends", r.sends), attribute.Int("runs", r.runs))
+			attribute.Int("sends", r.attempts), attribute.Int("runs", r.runs))
 		if r.result != ResultAnswered {
 			span.SetStatus(codes.Error, r.result)
 		}
