--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -127,7 +127,9 @@
 
 // Close ends the checks of incarnations and waits for them.
 func (a *Attributor) Close() error {
-	a.cancel()
+	a.mu.Lock()
+	a.cancel() // RecordBroken begins no check from now on.
+	a.mu.Unlock()
 	a.checks.Wait()
 	return nil
 }
