--- a/attributor/attributor.go
+++ b/attributor/attributor.go
@@ -237,7 +237,8 @@
 	return crashes
 }
 
-// explained reports whether the crashes are fewer than certainThreshold and too few of them remain without those of stronger causes that are not in the request.
+// explained reports whether the crashes are fewer than certainThreshold, and too few of them remain without those of
+// stronger causes that are not in the request.
 func (a *Attributor) explained(crashes []strike, causes []Cause) bool {
 	strength, remaining := countCrashes(crashes), crashes
 	if strength >= certainThreshold {
--- a/attributor/exchange.go
+++ b/attributor/exchange.go
@@ -1,8 +1,6 @@
 package attributor
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// exportsPerItem is how many times a strike or a completion is sent to the peers, since datagrams may be lost.
