--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -87,8 +87,8 @@
 	c.poller.SetTargets(polled)
 }
 
-// applyPeers passes the other daemons to the broadcaster, their number to the placer, and the daemons to the assignment
-// of cache polling.
+// applyPeers passes the other daemons to the broadcaster and the shared store, their names to the attributor and the placer,
+// and the daemons to the assignment of the polling.
 func (d *Daemon) applyPeers(peers []tracker.Peer) {
 	receivers, names := make([]broadcaster.Peer, 0, len(peers)), make([]string, 0, len(peers))
 	for _, peer := range peers {
