--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -57,7 +57,7 @@
 
 func (d *Daemon) newEdge() (e *edge, err error) {
 	e = &edge{daemon: d, relayer: d.newRelayer(d.view)}
-	e.idle.idleSince = make(map[net.Conn]time.Time)
+	e.idle.idleSince, e.idle.states = make(map[net.Conn]time.Time), make(map[net.Conn]http.ConnState)
 	e.callerServer = &http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 		ConnState: e.idle.trackState,
@@ -188,6 +188,7 @@
 	time.Sleep(deregistrationDelay)
 	e.refuseNew.Store(true)
 	e.idle.closeOlder(0)
+	defer e.logConnections()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	for e.openRequests.Load() > 0 {
@@ -197,6 +198,14 @@
 	}
 }
 
+// logConnections logs how many callers' connections are open in which state when the drain ends. A connection that is
+// active without an open request has an answer that is not written yet.
+func (e *edge) logConnections() {
+	counts := e.idle.count()
+	e.daemon.logger.Info("callers' connections are closed", "open_requests", e.openRequests.Load(), "new", counts[http.StateNew],
+		"active", counts[http.StateActive], "idle", counts[http.StateIdle])
+}
+
 // close closes all ports and waits for the goroutines of the edge.
 func (e *edge) close() error {
 	e.cancel()
@@ -210,11 +219,17 @@
 type idleConnections struct {
 	mu        sync.Mutex
 	idleSince map[net.Conn]time.Time
+	// states are the states of all open connections.
+	states map[net.Conn]http.ConnState
 }
 
 func (i *idleConnections) trackState(conn net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.states[conn] = state
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(i.states, conn)
+	}
 	if state == http.StateIdle {
 		i.idleSince[conn] = time.Now()
 		return
@@ -222,6 +237,17 @@
 	delete(i.idleSince, conn)
 }
 
+// count returns the number of open connections by state.
+func (i *idleConnections) count() map[http.ConnState]int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	counts := make(map[http.ConnState]int)
+	for _, state := range i.states {
+		counts[state]++
+	}
+	return counts
+}
+
 // closeOlder closes the connections that have been idle for longer than the bound.
 func (i *idleConnections) closeOlder(bound time.Duration) {
 	i.mu.Lock()
