drainer, assembler: connections are closed between requests only

What callers saw: a request around a planned stop, or around a change of the idle time, got neither an answer nor a refusal.

Change: a Drainer follows each connection's bytes, and the goroutine that reads decides whether a request or the end came first. A stopping daemon waits for written answers, empties the queue of its port, and cancels with a cause what is open at the bound, which is answered (502, or 503 if not run). Answers announce with Keep-Alive how long their connection may be used again, 2 s, which is less than the time before the close, so that no request meets it. A shorter idle time spares connections that were idle under the longer one. The callers' port opens last. The bound of a stop counts from its signal, not from the end of the upgrader.

Why it works: no connection ends by a decision of another goroutine any more but at the stop bound.

Red before: assembler TestShutdownAnswersRequestsOnKeptConnections (13 to 140 of 217 to 319), TestShutdownAnswersRequestsAtStopBound, TestMalformedBodyIsRefused (both EOF).

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -145,12 +145,13 @@
 	if err := d.sharing.listen(settings.PeersListen); err != nil {
 		return nil, errs.Combine(err, d.close())
 	}
-	if d.edge, err = d.newEdge(); err != nil {
-		return nil, errs.Combine(err, d.close())
-	}
+	d.edge = d.newEdge()
 	if err := d.registerGauges(); err != nil {
 		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
+	if err := d.edge.start(); err != nil {
+		return nil, errs.Combine(err, d.edge.close(), d.close())
+	}
 	for _, f := range d.view.followers {
 		f.Start(ctx)
 	}
@@ -196,14 +197,16 @@
 }
 
 // Shutdown drains the daemon and stops it. Requests that are still open shortly before the stop bound are
-// aborted.
+// cancelled, and answered so.
 func (d *Daemon) Shutdown() (err error) {
 	defer Error.WrapP(&err)
 	d.closeOnce.Do(func() {
+		stopAt := time.Now().Add(d.hosted.Load().StopBound)
 		d.stopping.Store(true)
+		d.edge.drainer.Leave()
 		d.logger.Info("daemon stopping", "bound", d.hosted.Load().StopBound)
 		d.closeErr = d.coordination.upgrader.Close()
-		d.edge.drain()
+		d.edge.drain(stopAt)
 		d.closeErr = errs.Combine(d.closeErr, d.edge.close(), d.close())
 	})
 	return d.closeErr
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/rosemaryrill/rosemaryrill/drainer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/supervisor"
@@ -33,10 +35,11 @@
 	// deregistrationDelay is how long a stopping daemon still accepts requests. The load balancer sends a
 	// readiness probe every second, so two probes fail in this time, after which it sends no more requests.
 	deregistrationDelay = 2600 * time.Millisecond
-	// drainCheckInterval is the time between two checks of a stopping daemon for open requests.
-	drainCheckInterval = 50 * time.Millisecond
-	// stopBoundMargin is the time between the end of the drain and the stop bound, in which the daemon is
-	// closed.
+	// keepAliveTimeout is how long callers may use an idle connection again. It is shorter than deregistrationDelay, so
+	// that a stopping daemon closes only connections that callers no longer use.
+	keepAliveTimeout = 2 * time.Second
+	// stopBoundMargin is the time between the end of the drain and the stop bound, in which the open requests are
+	// answered and the daemon is closed.
 	stopBoundMargin = 700 * time.Millisecond
 )
 
@@ -47,54 +50,62 @@
 	callerServer    *http.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
+	drainer         *drainer.Drainer
 	group           conc.WaitGroup
-	openRequests    atomic.Int64
-	idle            idleConnections
 	cancel          context.CancelFunc
 	// refuseNew is set when the daemon starts to refuse new requests.
 	refuseNew atomic.Bool
 }
 
-func (d *Daemon) newEdge() (e *edge, err error) {
-	e = &edge{daemon: d, relayer: d.newRelayer(d.view)}
-	e.idle.idleSince, e.idle.states = make(map[net.Conn]time.Time), make(map[net.Conn]http.ConnState)
+// newEdge creates the edge; start opens its ports.
+func (d *Daemon) newEdge() *edge {
+	e := &edge{daemon: d, relayer: d.newRelayer(d.view)}
 	e.callerServer = &http.Server{
 		Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
-		ConnState: e.idle.trackState,
 	}
+	e.drainer = drainer.New(e.callerServer, drainer.Settings{
+		AbortCause: relayer.ErrStopping, KeepAlive: keepAliveTimeout, Logger: d.loggerFor("drainer"),
+	})
 	probes := httprouter.New()
 	probes.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { e.serveReady(w) })
 	e.readinessServer = &http.Server{Handler: probes, ReadHeaderTimeout: headerTimeout}
 	e.metricsServer = &http.Server{Handler: d.observer.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
-	if err := e.listen(e.callerServer, d.settings.CallersListen); err != nil {
-		return nil, err
-	}
-	if err := e.listen(e.readinessServer, d.settings.Hosted.ReadyListen); err != nil {
-		return nil, errors.Join(err, e.callerServer.Close())
+	var ctx context.Context
+	ctx, e.cancel = context.WithCancel(context.Background())
+	e.group.Go(func() { supervisor.Run(ctx, d.logger, "close idle", e.closeIdle) })
+	return e
+}
+
+// start opens the ports. It opens the one for callers last, so that no request arrives at a daemon that fails to start.
+func (e *edge) start() error {
+	settings := e.daemon.settings
+	if err := e.serveOn(e.readinessServer, settings.Hosted.ReadyListen); err != nil {
+		return err
 	}
-	if err := e.listen(e.metricsServer, d.settings.Hosted.MetricsListen); err != nil {
-		return nil, errors.Join(err, e.callerServer.Close(), e.readinessServer.Close())
+	if err := e.serveOn(e.metricsServer, settings.Hosted.MetricsListen); err != nil {
+		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
-	e.group.Go(func() { supervisor.Run(ctx, d.logger, "close idle", e.closeIdle) })
-	return e, nil
+	return e.serveOn(e.callerServer, settings.CallersListen)
 }
 
 // closeIdle closes callers' connections that exceed the idle timeout of the current configuration.
 func (e *edge) closeIdle(ctx context.Context) {
 	for waiter.Sleep(ctx, idleCheckInterval) {
 		if catalog := e.daemon.view.Catalog(); catalog != nil && catalog.Limits().IdleTimeout > 0 {
-			e.idle.closeOlder(catalog.Limits().IdleTimeout)
+			e.drainer.CloseIdle(catalog.Limits().IdleTimeout)
 		}
 	}
 }
 
-func (e *edge) listen(server *http.Server, address netip.AddrPort) error {
+// serveOn opens a port for the server.
+func (e *edge) serveOn(server *http.Server, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
+	if server == e.callerServer {
+		listener = e.drainer.Track(listener)
+	}
 	e.group.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.daemon.logger.Error("HTTP server failed", "address", address, "error", err)
@@ -117,11 +128,6 @@
 // serve reads one request of a caller, checks its size and passes it to the relayer.
 func (e *edge) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	e.openRequests.Add(1)
-	defer e.openRequests.Add(-1)
-	if e.daemon.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if e.refuseNew.Load() {
 		platform.Codec{}.Refuse(w, relayer.Stopping())
 		return
@@ -178,84 +184,36 @@
 		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: relayer.ReasonTooLarge, NotRun: true})
 		return
 	}
-	panic(http.ErrAbortHandler) // The caller disconnected or sent an incomplete request.
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		platform.Codec{}.Refuse(w, relayer.Stopping()) // Drain has ended the reading of the body.
+		return
+	}
+	if isConnectionError(err) {
+		panic(http.ErrAbortHandler) // The caller disconnected before the end of the body.
+	}
+	platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true, CloseConnection: true})
 }
 
-// drain waits until the load balancer sends no more requests, closes the idle connections, and then
-// waits until the open requests have ended or only stopBoundMargin remains.
-func (e *edge) drain() {
-	deadline := time.Now().Add(e.daemon.hosted.Load().StopBound - stopBoundMargin)
+// isConnectionError reports whether a body could not be read because its connection ended.
+func isConnectionError(err error) bool {
+	var networkError net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &networkError)
+}
+
+// drain waits until the load balancer sends no more requests, and then until all requests are answered and all
+// connections closed. Shortly before stopAt it cancels the requests that are still open.
+func (e *edge) drain(stopAt time.Time) {
 	time.Sleep(deregistrationDelay)
 	e.refuseNew.Store(true)
-	e.idle.closeOlder(0)
-	defer e.logConnections()
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), stopAt.Add(-stopBoundMargin))
 	defer cancel()
-	for e.openRequests.Load() > 0 {
-		if !waiter.Sleep(ctx, drainCheckInterval) {
-			return
-		}
-	}
-}
-
-// logConnections logs how many callers' connections are open in which state when the drain ends. A connection that is
-// active without an open request has an answer that is not written yet.
-func (e *edge) logConnections() {
-	counts := e.idle.count()
-	e.daemon.logger.Info("callers' connections are closed", "open_requests", e.openRequests.Load(), "new", counts[http.StateNew],
-		"active", counts[http.StateActive], "idle", counts[http.StateIdle])
+	e.drainer.Drain(ctx)
 }
 
 // close closes all ports and waits for the goroutines of the edge.
 func (e *edge) close() error {
 	e.cancel()
-	err := errors.Join(e.callerServer.Close(), e.readinessServer.Close(), e.metricsServer.Close())
+	err := errors.Join(e.drainer.Close(), e.readinessServer.Close(), e.metricsServer.Close())
 	e.group.Wait()
 	return err
 }
-
-// idleConnections tracks callers' idle connections and closes those that exceed the configured idle
-// timeout.
-type idleConnections struct {
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
-	// states are the states of all open connections.
-	states map[net.Conn]http.ConnState
-}
-
-func (i *idleConnections) trackState(conn net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.states[conn] = state
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(i.states, conn)
-	}
-	if state == http.StateIdle {
-		i.idleSince[conn] = time.Now()
-		return
-	}
-	delete(i.idleSince, conn)
-}
-
-// count returns the number of open connections by state.
-func (i *idleConnections) count() map[http.ConnState]int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	counts := make(map[http.ConnState]int)
-	for _, state := range i.states {
-		counts[state]++
-	}
-	return counts
-}
-
-// closeOlder closes the connections that have been idle for longer than the bound.
-func (i *idleConnections) closeOlder(bound time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for conn, since := range i.idleSince {
-		if time.Since(since) > bound {
-			_ = conn.Close() // http.Server ends the connection's goroutine.
-			delete(i.idleSince, conn)
-		}
-	}
-}
--- a/assembler/stop_test.go
+++ b/assembler/stop_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/loader"
 )
 
 // keptCaller is a caller with one kept connection. Like clients of the platform, it uses the connection again only
@@ -86,8 +88,17 @@
 	closeSpread   = 40 * time.Millisecond
 )
 
+// reuseOffset returns how long after the start of the stop a caller uses its connection again: every second one around
+// expectedClose, and the others at any time before.
+func reuseOffset(caller int) time.Duration {
+	if caller%2 == 0 {
+		return expectedClose + time.Duration(caller)*2*closeSpread/keptCallers - closeSpread
+	}
+	return time.Duration(caller) * expectedClose / keptCallers
+}
+
 // Guards against requests that a stopping daemon leaves without an answer (LOST): callers use their kept connections
-// again while the daemon closes those that are idle.
+// again until the daemon closes those that are idle.
 func TestShutdownAnswersRequestsOnKeptConnections(t *testing.T) {
 	f := newFleet(t, 1)
 	d := f.daemons[0]
@@ -109,8 +120,7 @@
 	stopAt := time.Now()
 	for i, caller := range callers {
 		group.Go(func() {
-			offset := time.Duration(i)*2*closeSpread/keptCallers - closeSpread
-			time.Sleep(time.Until(stopAt.Add(expectedClose + offset)))
+			time.Sleep(time.Until(stopAt.Add(reuseOffset(i))))
 			if !caller.reusable() {
 				return
 			}
@@ -119,7 +129,7 @@
 			defer mu.Unlock()
 			reused++
 			if err != nil {
-				lost = append(lost, fmt.Sprintf("%s from the close: %v", offset, err))
+				lost = append(lost, fmt.Sprintf("%s after the start of the stop: %v", reuseOffset(i), err))
 				ran += len(runsOf(f.services, fmt.Sprint("again", i)))
 			}
 		})
@@ -129,7 +139,66 @@
 	}
 	group.Wait()
 	t.Logf("%d of %d connections were used again", reused, keptCallers)
+	if reused < keptCallers/4 {
+		t.Errorf("only %d connections were used again", reused)
+	}
 	if len(lost) > 0 {
 		t.Errorf("%d requests got no answer, %d of which ran; the first: %s", len(lost), ran, lost[0])
 	}
 }
+
+// Guards against requests that a stopping daemon cuts at its stop bound (LOST): a request whose target is still silent and
+// one whose body has not arrived are answered.
+func TestShutdownAnswersRequestsAtStopBound(t *testing.T) {
+	f := newFleet(t, 1)
+	d := f.daemons[0]
+	silent, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = silent.Close() })
+	f.store.Delete("servers/service-0")
+	f.store.Delete("servers/service-1")
+	f.store.Put("servers/silent", map[string]any{
+		"service": "services", "address": silent.Addr().String(), "zone": "north", "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+	settings := loader.DefaultSettings()
+	settings.Hosted.StopBound = 4 * time.Second
+	d.Reload(settings)
+	time.Sleep(time.Second) // The daemon learns of the targets.
+	stopped := make(chan error)
+	go func() { stopped <- d.Shutdown() }()
+	time.Sleep(2 * time.Second)
+	half := &keptCaller{f: f, daemon: d}
+	if err := half.connect(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(half.conn, "POST /order/a HTTP/1.1\r\nHost: %s\r\nX-Request-Id: h\r\nContent-Length: 9\r\n\r\nhalf", host); err != nil {
+		t.Fatal(err)
+	}
+	if r := f.call(d, http.MethodPost, "/order/a", "o", "wheel"); r.status != http.StatusBadGateway || !strings.Contains(r.body, "stopping") {
+		t.Errorf("a request whose target is silent: %+v", r)
+	}
+	if response, err := http.ReadResponse(half.reader, nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a request whose body has not arrived: %+v, %v", response, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// A body that breaks the rules of its encoding is refused; the caller is still there to read it.
+func TestMalformedBodyIsRefused(t *testing.T) {
+	f := newFleet(t, 1)
+	c := &keptCaller{f: f, daemon: f.daemons[0]}
+	if err := c.connect(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(c.conn, "POST /order/a HTTP/1.1\r\nHost: %s\r\nX-Request-Id: m\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", host); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := http.ReadResponse(c.reader, nil); err != nil || response.StatusCode != http.StatusBadRequest {
+		t.Errorf("%+v, %v", response, err)
+	}
+}
--- /dev/null
+++ b/drainer/connection.go
@@ -0,0 +1,198 @@
+package drainer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+// connectionState is what a connection is used for.
+type connectionState int
+
+const (
+	// stateNew: no byte has arrived yet.
+	stateNew connectionState = iota
+	// stateReceiving: bytes have arrived, but not the whole head of a request.
+	stateReceiving
+	// stateServing: a request is being served, until its answer was written.
+	stateServing
+	// stateIdle: the last answer was written, and no byte has arrived since.
+	stateIdle
+)
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// connection is a connection of a tracked server. Only the goroutine that reads from it ends it between requests.
+type connection struct {
+	net.Conn
+	drainer   *Drainer
+	closeOnce sync.Once
+	closeErr  error
+
+	mu    sync.Mutex
+	state connectionState
+	// since is when the state began or, in stateReceiving, when the last byte arrived.
+	since time.Time
+	// idleTimeout is the timeout in force when the connection became idle, and keepAlive the time that was announced then.
+	idleTimeout time.Duration
+	keepAlive   time.Duration
+	// ending is set when Read is to end the connection unless a byte has arrived.
+	ending bool
+	// readDeadline is the read deadline that the server has set.
+	readDeadline time.Time
+}
+
+func (d *Drainer) add(conn net.Conn) *connection {
+	c := &connection{Conn: conn, drainer: d, since: time.Now()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.connections[c] = struct{}{}
+	return c
+}
+
+// Read implements net.Conn. If the connection is to end and nothing has arrived, it returns io.EOF, so that the server
+// closes it as if the caller had done so, or a timeout within the head of a request.
+func (c *connection) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+		n, err = c.Conn.Read(p)
+		if n == 0 {
+			return 0, c.endError(err)
+		}
+	}
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+// endError counts the end of the connection and returns the error with which Read reports it.
+func (c *connection) endError(err error) error {
+	if c.currentState() == stateReceiving {
+		c.drainer.count(func(r *Report) { r.Unfinished++ })
+		return err
+	}
+	c.drainer.count(func(r *Report) { r.Idle++ })
+	return io.EOF
+}
+
+func (c *connection) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
+// received records that bytes have arrived. They begin a request if none is being served.
+func (c *connection) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep()
+	if c.state != stateServing {
+		c.state, c.since = stateReceiving, time.Now()
+	}
+}
+
+// keep revokes an end that Read has not carried out. The caller holds mu.
+func (c *connection) keep() {
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *connection) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.closeOnce.Do(func() {
+		c.closeErr = c.Conn.Close()
+		c.drainer.mu.Lock()
+		delete(c.drainer.connections, c)
+		c.drainer.mu.Unlock()
+		c.drainer.signal()
+	})
+	return c.closeErr
+}
+
+// follow takes over a state of the server.
+func (c *connection) follow(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.keep()
+		c.state, c.since = stateServing, time.Now()
+	case http.StateIdle:
+		c.state, c.since = stateIdle, time.Now()
+		c.idleTimeout, c.keepAlive = time.Duration(c.drainer.idleTimeout.Load()), c.drainer.keepAlive()
+		c.drainer.signal()
+	}
+}
+
+func (c *connection) currentState() connectionState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// end makes Read end the connection unless a byte has arrived. The caller holds mu.
+func (c *connection) end() {
+	if !c.ending {
+		c.ending = true
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+// closeIfIdle ends the connection if it has been idle for longer than the timeout and than the one in force when it
+// became idle.
+func (c *connection) closeIfIdle(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateIdle && time.Since(c.since) > max(timeout, c.idleTimeout) {
+		c.end()
+	}
+}
+
+// closeIfQuiet ends the connection if it may be closed between requests, and reports whether a request is being received
+// or served.
+func (c *connection) closeIfQuiet() (busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := time.Since(c.since)
+	stalled := c.state == stateReceiving && age > headStallTimeout
+	unused := c.state == stateNew && age > firstRequestTimeout
+	unpromised := c.state == stateIdle && (c.keepAlive == 0 || age > c.keepAlive+reuseMargin)
+	if stalled || unused || unpromised {
+		c.end()
+	}
+	return c.state == stateServing || c.state == stateReceiving && !stalled
+}
+
+// interruptBody ends the reading of a request's body.
+func (c *connection) interruptBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateServing {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -76,6 +77,10 @@
 	return refusal
 }
 
+// ErrStopping is the cause with which the context of a request is cancelled when a stopping daemon no longer waits for
+// its answer.
+var ErrStopping = errors.New("the daemon is stopping")
+
 // Stopping returns the refusal of a request that a stopping daemon no longer accepts.
 func Stopping() Refusal { return *unavailableHere(ReasonStopping, contactRetryAfter) }
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -220,6 +220,19 @@
 	}
 }
 
+// Guards against requests that a stopping daemon cuts (LOST): one that it cancels is answered, and not as not run, since a
+// target may have run it.
+func TestStoppingDaemonAnswersCancelledRequests(t *testing.T) {
+	for _, path := range []string{"/once/", "/often/", "/stream/", "/resume/"} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		h := newHarness(targetBehaviour{status: 200, before: func() { cancel(relayer.ErrStopping) }}, good)
+		want := result{status: http.StatusBadGateway, reason: string(relayer.ReasonStopping)}
+		if seen := h.relay(ctx, path); seen != want || len(h.attemptTargets) != 1 {
+			t.Errorf("%s: %+v after %d attempts", path, seen, len(h.attemptTargets))
+		}
+	}
+}
+
 func TestOnlyBrokenAttemptsCountAsStrikes(t *testing.T) {
 	for name, c := range map[string]struct {
 		given targetBehaviour
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -227,6 +227,11 @@
 func (r *relayedRequest) decideRetry(ctx context.Context, result attemptResult, choice placer.Choice) *Refusal {
 	r.triedTargets = append(r.triedTargets, choice.Target.ID)
 	switch {
+	case r.stopping() && r.runs > 0:
+		return failed(http.StatusBadGateway, ReasonStopping)
+	case r.stopping():
+		refusal := Stopping()
+		return &refusal
 	case ctx.Err() != nil && r.runs > 0:
 		return failed(http.StatusGatewayTimeout, ReasonDeadline)
 	case ctx.Err() != nil:
@@ -274,7 +279,7 @@
 func (r *relayedRequest) refuse(refusal *Refusal) {
 	r.result = string(refusal.Reason)
 	r.status = refusal.Status
-	if r.ctx.Err() != nil {
+	if r.ctx.Err() != nil && !r.stopping() {
 		r.result = ResultCallerLeft
 		r.abort = true
 		return
@@ -282,6 +287,9 @@
 	r.relayer.settings.Codec.Refuse(r.writer, *refusal)
 }
 
+// stopping reports whether the request was cancelled because the daemon stops. Its caller is still there.
+func (r *relayedRequest) stopping() bool { return errors.Is(context.Cause(r.ctx), ErrStopping) }
+
 // report logs the request and passes its outcome to Observe.
 func (r *relayedRequest) report() {
 	total := time.Since(r.call.ArrivedAt)
