drainer: several requests may share a connection

What callers would see: with HTTP/2, requests that are open when a drain has to end are cut without an answer. `rilld front` has no HTTP/2; the callers' port of `rilld serve` has it with TLS.

Cause: abort ends the reading of a body by the connection's read deadline, and package net/http gives up a connection of HTTP/2 with all its requests when it can't read. It also calls such a connection idle before it flushes the last bytes of an answer (closeStream precedes scheduleFrameWrite in h2_bundle.go), so that an end of reading may come first; that is read from the code, and no run has shown it.

Change: a connection of HTTP/2 keeps its deadline at the end of a drain, and a draining server closes it 1.5 s after its last answer; net/http itself sends GOAWAY with an answer that bears Connection: close, and closes one second later.

--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -41,6 +42,8 @@
 	// idleTimeout is the timeout in force when the connection became idle, and keepAlive the time that was announced then.
 	idleTimeout time.Duration
 	keepAlive   time.Duration
+	// multiplexed is set if requests share the connection (HTTP/2).
+	multiplexed bool
 	// ending is set when Read is to end the connection unless a byte has arrived.
 	ending bool
 	// readDeadline is the read deadline that the server has set.
@@ -134,13 +137,21 @@
 	return c.closeErr
 }
 
-// follow takes over a state of the server.
-func (c *connection) follow(state http.ConnState) {
+// isMultiplexed reports whether requests share a connection of the server.
+func isMultiplexed(conn net.Conn) bool {
+	encrypted, ok := conn.(*tls.Conn)
+	return ok && encrypted.ConnectionState().NegotiatedProtocol == "h2"
+}
+
+// follow takes over a state of the server, which calls the connection conn.
+func (c *connection) follow(conn net.Conn, state http.ConnState) {
+	multiplexed := state == http.StateActive && isMultiplexed(conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateActive:
 		c.keep()
+		c.multiplexed = multiplexed
 		c.state, c.since = stateServing, time.Now()
 	case http.StateIdle:
 		c.state, c.since = stateIdle, time.Now()
@@ -181,18 +192,31 @@
 	age := time.Since(c.since)
 	stalled := c.state == stateReceiving && age > headStallTimeout
 	unused := c.state == stateNew && age > firstRequestTimeout
-	unpromised := c.state == stateIdle && (c.keepAlive == 0 || age > c.keepAlive+reuseMargin)
+	unpromised := c.state == stateIdle && age > c.reuseTime()
 	if stalled || unused || unpromised {
 		c.end()
 	}
 	return c.state == stateServing || c.state == stateReceiving && !stalled
 }
 
-// interruptBody ends the reading of a request's body.
+// reuseTime returns how long a draining server keeps the connection after an answer. The caller holds mu.
+func (c *connection) reuseTime() time.Duration {
+	reuseTime := time.Duration(0)
+	if c.keepAlive > 0 {
+		reuseTime = c.keepAlive + reuseMargin
+	}
+	if c.multiplexed {
+		reuseTime = max(reuseTime, multiplexedTimeout)
+	}
+	return reuseTime
+}
+
+// interruptBody ends the reading of a request's body. It spares connections that requests share, since all of them would
+// lose their answers.
 func (c *connection) interruptBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateServing {
+	if c.state == stateServing && !c.multiplexed {
 		_ = c.Conn.SetReadDeadline(longAgo)
 	}
 }
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -36,6 +36,9 @@
 	headStallTimeout = time.Second
 	// reuseMargin is how long after the announced time a connection is kept for a request that is still on the network.
 	reuseMargin = 500 * time.Millisecond
+	// multiplexedTimeout is how long a draining server keeps an idle connection of HTTP/2. Package net/http calls it idle
+	// before it has written the last bytes of the answer, and closes it one second after an answer that announces its end.
+	multiplexedTimeout = 1500 * time.Millisecond
 	// checkInterval is the time between two checks of the timeouts while the server drains.
 	checkInterval = 50 * time.Millisecond
 	// abortTimeout is the time for the answers to requests that are cancelled at the end of the drain.
@@ -131,7 +134,7 @@
 func (d *Drainer) trackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
 		if c := tracked(conn); c != nil {
-			c.follow(state)
+			c.follow(conn, state)
 		}
 		if next != nil {
 			next(conn, state)
