server: a shutdown answers the requests that have arrived

What callers saw: a request that had arrived got neither an answer nor a refusal while `rilld serve` stopped.

Cause: http.Server.Shutdown decides by net/http's connection states: a connection is idle until the whole head of its next request is read. It closes the listener at once, which resets the connections in its queue. A request whose body had not arrived when the drain had to end held the stop up for up to the body timeout (30 s).

Change: the server uses a Drainer. Leave also makes answers announce the end of their connections; Shutdown and Close drain; open requests are cancelled by the base context with the cause errShutdown, which also ends the reading of bodies, with code leaving, not run. Handlers that need longer than the drain's end are still waited for, and then their answers.

--- a/server/body.go
+++ b/server/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -18,9 +19,14 @@
 	control := http.NewResponseController(w)
 	// The response writers of tests do not support deadlines. BodyTimeout is not enforced for them.
 	_ = control.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
+	stop := interruptAtShutdown(r.Context(), control)
 	body, err := readAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes), r.ContentLength)
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err != nil && isShutDown(r.Context()):
+		w.Header().Set("Connection", "close")
+		return nil, refuser.New(refuser.CodeLeaving, "the daemon stopped before the body had arrived").WithCause(err)
 	case err == nil:
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
@@ -34,6 +40,28 @@
 	return nil, refuser.New(refuser.CodeBadRequest, "the body could not be read").WithCause(err)
 }
 
+// interruptAtShutdown ends the reading of a body when the daemon cancels its open requests. The caller calls stop when it
+// has read the body, which waits for an interruption that has begun.
+func interruptAtShutdown(ctx context.Context, control *http.ResponseController) (stop func()) {
+	interrupted := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		if isShutDown(ctx) {
+			_ = control.SetReadDeadline(time.Now())
+		}
+	})
+	return func() {
+		if !cancel() {
+			<-interrupted
+		}
+	}
+}
+
+// isShutDown reports whether the shutdown of the daemon cancelled the request.
+func isShutDown(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errShutdown)
+}
+
 // maxPreallocatedBytes bounds the buffer that is allocated from an unverified Content-Length.
 const maxPreallocatedBytes = 1 << 20
 
--- a/server/chat.go
+++ b/server/chat.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"time"
 
@@ -93,7 +92,7 @@
 // cancelled the request, the refusal has the code CodeLeaving.
 func (s *Server) chatRefusal(ctx context.Context, err error) *refuser.Refusal {
 	refusal := refuser.From(err)
-	if errors.Is(context.Cause(ctx), errShutdown) {
+	if isShutDown(ctx) {
 		leaving := refuser.New(refuser.CodeLeaving, "the daemon stopped before the answer was complete").WithCause(err)
 		leaving.Run = refusal.Run
 		return leaving
--- a/server/json_error_listener.go
+++ b/server/json_error_listener.go
@@ -40,6 +40,9 @@
 	handlerStarted atomic.Bool
 }
 
+// NetConn returns the accepted connection, by which a drainer.Drainer finds its own.
+func (c *jsonErrorConnection) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It writes a refusal if a partial header exceeds the read deadline.
 func (c *jsonErrorConnection) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 //		Invoker:       invoker,
 //	})
 //	go s.Serve(listener)
+//	s.Leave()             // Tells load balancers and callers to send no more requests.
 //	err = s.Shutdown(ctx) // Cancels open requests when the context ends.
 //	err = s.Close()
 package server
@@ -39,6 +40,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/rosemaryrill/rosemaryrill/completer"
+	"github.com/rosemaryrill/rosemaryrill/drainer"
 	"github.com/rosemaryrill/rosemaryrill/invoker"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
@@ -144,13 +146,15 @@
 	http       *http.Server
 	propagator propagation.TextMapPropagator
 	leaving    atomic.Bool
-	// shutdownContext is cancelled, and with it all open requests, when the context of Shutdown
-	// ends or on Close.
-	shutdownContext context.Context
-	cancelRequests  context.CancelCauseFunc
-	openRequests    sync.WaitGroup
+	// drainer tracks the connections. It cancels all open requests with errShutdown when the context of Shutdown ends or
+	// on Close.
+	drainer      *drainer.Drainer
+	openRequests sync.WaitGroup
 }
 
+// writeTimeout limits the time for writing the answers of cancelled requests whose handlers have returned.
+const writeTimeout = time.Second
+
 // errShutdown is the cancellation cause of requests that Shutdown or Close cancels.
 var errShutdown = errors.New("the daemon is shutting down")
 
@@ -161,7 +165,6 @@
 		return nil, errs.New("configuration, completer and invoker are needed")
 	}
 	s = &Server{settings: settings.withDefaults(), propagator: otel.GetTextMapPropagator()}
-	s.shutdownContext, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.http = &http.Server{
 		Handler:           markHandlerStarted(s.Handler()),
 		ConnContext:       contextWithConnection,
@@ -172,6 +175,7 @@
 		TLSConfig:         s.settings.TLS,
 		ErrorLog:          slog.NewLogLogger(s.settings.Log.Handler(), slog.LevelDebug),
 	}
+	s.drainer = drainer.New(s.http, drainer.Settings{AbortCause: errShutdown, Logger: s.settings.Log})
 	return s, nil
 }
 
@@ -205,6 +209,7 @@
 // Serve accepts connections until Shutdown or Close.
 func (s *Server) Serve(listener net.Listener) (err error) {
 	defer Error.WrapP(&err)
+	listener = s.drainer.Track(listener)
 	if s.settings.TLS != nil {
 		err = s.http.ServeTLS(listener, "", "")
 	} else {
@@ -217,34 +222,43 @@
 }
 
 // Leave makes /readyz fail, so that load balancers send no new requests. Requests that still
-// arrive are served.
+// arrive are served; their answers announce the end of the connection.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
+	s.drainer.Leave()
 }
 
-// Shutdown stops accepting connections and waits for the open requests. When the context ends,
-// it cancels the requests that are still open; their callers receive a refusal or, in a stream
-// that has started, an error event.
+// Shutdown serves all requests that have arrived, also on connections that are still in the listener's queue, closes
+// connections between requests, and stops accepting once no request is open. When the context ends, it cancels the
+// requests that are still open; their callers receive a refusal or, in a stream that has started, an error event.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer Error.WrapP(&err)
 	s.Leave()
-	stop := context.AfterFunc(ctx, func() { s.cancelRequests(errShutdown) })
-	defer stop()
-	err = s.http.Shutdown(context.WithoutCancel(ctx))
-	s.openRequests.Wait()
-	return err
+	s.drainer.Drain(ctx)
+	s.awaitCancelled()
+	return s.drainer.Close()
 }
 
 // Close cancels all open requests, waits for them and closes the connections.
 func (s *Server) Close() (err error) {
 	defer Error.WrapP(&err)
-	s.cancelRequests(errShutdown)
 	cancelled, cancel := context.WithCancel(context.Background())
 	cancel()
-	// With a cancelled context, Shutdown closes the listeners without waiting for open requests.
-	_ = s.http.Shutdown(cancelled)
+	s.drainer.Drain(cancelled)
+	s.awaitCancelled()
+	return s.drainer.Close()
+}
+
+// awaitCancelled waits until the handlers of cancelled requests have returned, which may take longer than the drain waits,
+// and until their answers are written.
+func (s *Server) awaitCancelled() {
 	s.openRequests.Wait()
-	return s.http.Close()
+	if s.drainer.OpenRequests() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	s.drainer.Drain(ctx)
 }
 
 // caller identifies the client account of a request, with the configuration in force when the
@@ -285,15 +299,10 @@
 }
 
 // requestContext returns a context that continues the caller's trace. It is cancelled when the
-// caller disconnects or the daemon cancels its open requests.
+// caller disconnects or, with the cause errShutdown, when the daemon cancels its open requests.
 func (s *Server) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
 	ctx := s.propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(s.shutdownContext, func() { cancel(errShutdown) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
+	return context.WithCancel(ctx)
 }
 
 const bearerPrefix = "Bearer "
