runner: a stop answers the operators' and peers' requests that have arrived

What callers saw: requests on kept connections of the ports for operators and peers got no answer while a daemon of `rilld serve` stopped. An operator doesn't know then whether an apply took effect, and a peer lacks an answer for a round.

The operators' port closed after the configuration, the gossip, the poller and the commander, which its handlers use.

Change: both ports have a Drainer; their answers announce the end of the connection from the start of the stop. The operators' port is drained right after the callers' port, before anything that its handlers use is closed. The peers' port is still drained after the gossip has announced the leave, and before the ledger's outcomes, the record and the store's client go.

--- a/runner/operators.go
+++ b/runner/operators.go
@@ -32,10 +32,8 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle(service.Handler())
-	d.operatorsServer = d.internalServer(mux)
-	d.group.Go(func() {
-		d.logServeError("operators' port", d.operatorsServer.Serve(d.callersTLS.wrap(d.operatorsListener)))
-	})
+	d.operatorsPort = d.newInternalPort(mux)
+	d.group.Go(func() { d.logServeError("operators' port", d.operatorsPort.serve(d.operatorsListener, d.callersTLS)) })
 }
 
 // operatorsConfiguration adapts a Configurator to the interface of the operators' server.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -15,7 +15,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -90,8 +89,8 @@
 	callersTLS        portTLS
 	peersTLS          portTLS
 	callersServer     *server.Server
-	peersServer       *http.Server
-	operatorsServer   *http.Server
+	peersPort         internalPort
+	operatorsPort     internalPort
 }
 
 // membership holds the components that exchange state with other daemons and detect failures.
@@ -417,17 +416,8 @@
 		RecordCopies:  receivedCopiesAdapter{holder: d.receivedCopies},
 		Topics:        map[string]exchanger.TopicHandler{topicQuarantine: d.quarantine},
 	}))
-	d.peersServer = d.internalServer(mux)
-	d.group.Go(func() { d.logServeError("peers' port", d.peersServer.Serve(d.peersTLS.wrap(d.peersListener))) })
-}
-
-// internalServer returns the server of a port that is not open to callers.
-func (d *Daemon) internalServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
-		ErrorLog:          slog.NewLogLogger(d.observer.Log("runner").Handler(), slog.LevelDebug),
-	}
+	d.peersPort = d.newInternalPort(mux)
+	d.group.Go(func() { d.logServeError("peers' port", d.peersPort.serve(d.peersListener, d.peersTLS)) })
 }
 
 func (d *Daemon) logServeError(port string, err error) {
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
 )
 
 // Shutdown stops the daemon gracefully. /readyz fails first, and Shutdown waits for the leave
-// notice, so that the load balancer stops sending requests. It then accepts no new connections and
-// waits for open requests up to the drain bound. Requests still open after that end with an error.
+// notice, so that the load balancer stops sending requests. It then serves the requests that have arrived, up to the drain
+// bound. Requests still open after that end with an error. Peers and operators are served until no caller is.
 func (d *Daemon) Shutdown() (err error) {
 	defer Error.WrapP(&err)
 	d.observer.Log("runner").Info("runner: stopping", "drain_bound", d.settings.DrainBound)
 	d.callersServer.Leave()
+	d.operatorsPort.drainer.Leave()
+	d.peersPort.drainer.Leave()
 	time.Sleep(d.settings.LeaveNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainBound)
 	defer cancel()
@@ -33,6 +34,7 @@
 func (d *Daemon) close() error {
 	var group errs.Group
 	group.Add(d.callersServer.Close())
+	group.Add(d.operatorsPort.close(closeTimeout)) // Operators' requests need all that is closed below.
 	d.commander.Close()
 	d.ledger.Close()
 	d.gossip.Leave()
@@ -44,13 +46,7 @@
 	close(d.stop)
 	d.peerAdapter.Close()
 	group.Add(d.configuration.Close())
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	for _, server := range []*http.Server{d.peersServer, d.operatorsServer} {
-		if err := server.Shutdown(ctx); err != nil {
-			group.Add(server.Close())
-		}
-	}
+	group.Add(d.peersPort.close(closeTimeout))
 	d.group.Wait()
 	group.Add(d.detector.Close())
 	d.quarantine.Close()
