runner: a daemon whose start fails accepts no callers

What callers saw: a connection, and a request on it, that was reset without an answer when a start failed, for example for a missing certificate.

Cause: the ports for callers and operators were opened first, and a port accepts into its queue as soon as it is open. Gauges, whose registration may fail, were registered while peers and operators were served.

Change: the two ports open in the last step that can fail; the callers' port last. The peers' port still opens first, since its address is announced; peers try again.

--- a/runner/gauges.go
+++ b/runner/gauges.go
@@ -1,9 +1,13 @@
 package runner
 
-import "github.com/zeebo/errs"
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+)
 
 // registerGauges registers gauges that compute their value whenever the metrics are scraped.
-func (d *Daemon) registerGauges() error {
+func (d *Daemon) registerGauges(context.Context) error {
 	metrics := d.observer.Metrics()
 	var group errs.Group
 	group.Add(metrics.Gauge("rill_revision", "Revision of the configuration in force.",
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -154,7 +154,7 @@
 	})
 	d.engineReports = newEngineReports(d)
 	steps := []func(context.Context) error{
-		d.openListeners,
+		d.openPeersListener,
 		d.startObserver,
 		d.startCertificates,
 		d.startPlatform,
@@ -167,13 +167,15 @@
 		d.startCommander,
 		d.startRequestPath,
 		d.startServer,
-		d.startBackground,
+		d.registerGauges,
+		d.openListeners,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return nil, errors.Join(err, d.closeListeners())
 		}
 	}
+	d.startBackground()
 	return d, nil
 }
 
@@ -226,16 +228,20 @@
 	return reasons
 }
 
-func (d *Daemon) openListeners(context.Context) (err error) {
-	d.callersListener, err = net.Listen("tcp", d.settings.CallersListen.String())
-	if err != nil {
-		return err
-	}
+// openPeersListener opens the port for peers, whose address the daemon announces.
+func (d *Daemon) openPeersListener(context.Context) (err error) {
 	d.peersListener, err = net.Listen("tcp", d.settings.PeersListen.String())
+	return err
+}
+
+// openListeners opens the ports for operators and callers. It is the last step of the start that can fail, since a port
+// accepts connections as soon as it is open.
+func (d *Daemon) openListeners(context.Context) (err error) {
+	d.operatorsListener, err = net.Listen("tcp", d.settings.OperatorsListen.String())
 	if err != nil {
 		return err
 	}
-	d.operatorsListener, err = net.Listen("tcp", d.settings.OperatorsListen.String())
+	d.callersListener, err = net.Listen("tcp", d.settings.CallersListen.String())
 	return err
 }
 
@@ -385,7 +391,7 @@
 }
 
 // startBackground serves the ports and starts the background goroutines.
-func (d *Daemon) startBackground(context.Context) error {
+func (d *Daemon) startBackground() {
 	d.servePeers()
 	d.serveOperators()
 	d.gossip.Start()
@@ -396,14 +402,10 @@
 	d.group.Go(d.monitorOutages)
 	d.group.Go(d.sweepLedger)
 	d.group.Go(d.commitFirstConfiguration)
-	if err := d.registerGauges(); err != nil {
-		return err
-	}
 	d.group.Go(d.warmUp)
 	d.group.Go(func() { d.logServeError("callers' port", d.callersServer.Serve(d.callersListener)) })
 	d.observer.Log("runner").Info("runner: started", "name", d.settings.Name,
 		"callers", d.CallersAddress().String(), "peers", d.PeersAddress().String())
-	return nil
 }
 
 func (d *Daemon) servePeers() {
