server: a call to a service that a stop cancels is refused with code leaving

What callers saw: an idempotent call to a service that was open at the drain bound got 499 and 'the caller went away', although its caller waited for the answer.

Cause: the Invoker can't tell the two causes of a cancelled context apart; only chat calls looked at the cause.

Change: the service path replaces the code cancelled by leaving if the shutdown cancelled the request, and keeps whether it may have run.

Red before: TestShutdownPastDeadlineRefusesServiceCalls (code cancelled). The test's backend now waits in Invoke, too, if it has a release channel, as in Complete.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -77,7 +77,11 @@
 	}
 }
 
-func (s *scriptedBackend) Invoke(_ context.Context, request invoker.Request) (invoker.Answer, error) {
+func (s *scriptedBackend) Invoke(ctx context.Context, request invoker.Request) (invoker.Answer, error) {
+	if s.release != nil {
+		<-ctx.Done()
+		return invoker.Answer{}, refuser.New(refuser.CodeCancelled, "the caller went away").WithMayHaveRun().WithCause(ctx.Err())
+	}
 	if s.err != nil {
 		return invoker.Answer{}, s.err
 	}
--- a/server/service.go
+++ b/server/service.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -39,12 +40,24 @@
 	}
 	answer, err := s.settings.Invoker.Invoke(r.Context(), request)
 	if err != nil {
-		return s.writeRefusal(w, c.account.Name, refuser.From(err))
+		return s.writeRefusal(w, c.account.Name, serviceRefusal(r.Context(), err))
 	}
 	writeServiceAnswer(w, answer)
 	return observer.OutcomeComplete
 }
 
+// serviceRefusal returns the refusal for an error of the Invoker. If the shutdown of the daemon cancelled the request, which
+// the Invoker can't tell from a caller that disconnects, the refusal has the code CodeLeaving.
+func serviceRefusal(ctx context.Context, err error) *refuser.Refusal {
+	refusal := refuser.From(err)
+	if refusal.Code != refuser.CodeCancelled || !isShutDown(ctx) {
+		return refusal
+	}
+	leaving := refuser.New(refuser.CodeLeaving, "the daemon stopped before the call was answered").WithCause(err)
+	leaving.Run = refusal.Run
+	return leaving
+}
+
 func writeServiceAnswer(w http.ResponseWriter, answer invoker.Answer) {
 	if answer.ContentType != "" {
 		w.Header().Set("Content-Type", answer.ContentType)
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -202,6 +202,19 @@
 	}
 }
 
+// Guards against an untrue refusal: a call to a service that the shutdown cancels is not refused as given up by its caller.
+func TestShutdownPastDeadlineRefusesServiceCalls(t *testing.T) {
+	listener := listen(t)
+	srv := startOn(t, &scriptedBackend{release: make(chan struct{})}, listener, nil)
+	k := dial(t, listener, nil)
+	k.send(t, "POST /services/s/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+accountKey+"\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	go func() { _ = shutDown(srv, 100*time.Millisecond) }()
+	if body, err := k.answer(); err != nil || !strings.Contains(body, `"code":"leaving"`) || !strings.Contains(body, "may_have_run") {
+		t.Errorf("answer %q, %v", body, err)
+	}
+}
+
 // chatOverHTTP2 sends a streamed chat call over HTTP/2 and returns the body of the response.
 func chatOverHTTP2(client *http.Client, listener net.Listener) (body string, err error) {
 	text := strings.NewReader(strings.Replace(validBody, "{", `{"stream":true,`, 1))
