drainer: a last look sees what has arrived however late it runs

Read and Accept return a timeout without a look if their deadline has passed before they run. On a host that is out of its share of the processor for more than the 1 ms of the last look, a request that was waiting in the socket or in the listener's queue was reset. The last look takes 100 ms now, and the socket is then read once more without a deadline. Of the queue no such read is possible through package net: a process that does not run for 100 ms within the last look may still reset a connection that it has not accepted.

--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connectionState is what a connection is used for.
@@ -63,18 +66,39 @@
 func (c *connection) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
-		n, err = c.Conn.Read(p)
+		n, err = c.lookAgain(p)
 		if n == 0 {
 			return 0, c.endError(err)
 		}
 	}
 	if n > 0 {
 		c.received()
+		return n, nil
 	}
 	return n, err
 }
 
+// lookAgain reads what has arrived or arrives within lastLook. A goroutine that gets to run only after the deadline would
+// get an error from Read without a look into the socket, so the socket is read once more without a deadline.
+func (c *connection) lookAgain(p []byte) (n int, err error) {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+	n, err = c.Conn.Read(p)
+	socket, ok := c.Conn.(syscall.Conn)
+	if n > 0 || !ok || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	raw, rawErr := socket.SyscallConn()
+	if rawErr != nil {
+		return 0, err
+	}
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = unix.Read(int(fd), p)
+		return true
+	})
+	return max(n, 0), err
+}
+
 // endError counts the end of the connection and returns the error with which Read reports it.
 func (c *connection) endError(err error) error {
 	if c.currentState() == stateReceiving {
--- a/drainer/listener.go
+++ b/drainer/listener.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// lastLook is how long a listener or an idle connection that is to be closed is looked at once more.
-const lastLook = time.Millisecond
+// lastLook is how long a listener or an idle connection that is to be closed is looked at once more. It exceeds the time
+// for which a process waits for its share of a processor.
+const lastLook = 100 * time.Millisecond
 
 // deadlineListener is a listener whose Accept can be ended by a deadline, such as a net.TCPListener.
 type deadlineListener interface {
