drainer: the announced time is that of the answer's head, and it is kept

The time that answers announce was decided when the handler started: an answer that began after Leave announced no end of its connection, and one that ended its connection announced both. The time that was kept was another one than the announced one if the idle timeout changed during the request, and an idle timeout of whole seconds left no room for a request on the network. An answer that was written counted as cut while net/http lingers over an unread body, and its end reached the caller 0.5 s late, since CloseWrite was hidden. The header is completed when the head is written, and names at most four fifths of the idle timeout; the connection keeps what its head announced.

--- /dev/null
+++ b/drainer/answer.go
@@ -0,0 +1,104 @@
+package drainer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// reusableRatio is the part of the idle timeout within which callers may use a connection again, so that their requests
+// arrive before its end.
+const reusableRatio = 0.8
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// addConnection adds the tracked connection to the contexts of its requests, after the server's own hook.
+func addConnection(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, conn net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, conn)
+		}
+		return context.WithValue(ctx, connectionKey{}, tracked(conn))
+	}
+}
+
+// announce adds to each answer, when its head is written, how long its connection may stay idle or, if the server is
+// leaving, that it ends.
+func (d *Drainer) announce(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _ := r.Context().Value(connectionKey{}).(*connection)
+		a := &answer{ResponseWriter: w, drainer: d, connection: c, mayKeep: r.ProtoMajor == 1 && r.ProtoAtLeast(1, 1) && !r.Close}
+		next.ServeHTTP(a, r)
+		a.announce()
+	})
+}
+
+// keepAlive returns the time that answers announce, in whole seconds; zero if they announce none.
+func (d *Drainer) keepAlive() time.Duration {
+	timeout := d.settings.KeepAlive
+	if idle := time.Duration(d.idleTimeout.Load()); idle > 0 {
+		timeout = min(timeout, time.Duration(reusableRatio*float64(idle)))
+	}
+	return timeout.Truncate(time.Second)
+}
+
+// answer is the answer to one request.
+type answer struct {
+	http.ResponseWriter
+	drainer    *Drainer
+	connection *connection
+	// mayKeep is set if the caller may keep its connection.
+	mayKeep   bool
+	announced bool
+}
+
+// announce completes the header.
+func (a *answer) announce() {
+	if a.announced {
+		return
+	}
+	a.announced = true
+	header := a.Header()
+	if a.drainer.leaving.Load() {
+		header.Set("Connection", "close")
+	}
+	timeout := a.drainer.keepAlive()
+	if !a.mayKeep || header.Get("Connection") == "close" || a.connection == nil {
+		timeout = 0
+	}
+	if timeout > 0 {
+		header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(timeout/time.Second)))
+	}
+	if a.connection != nil {
+		a.connection.setKeepAlive(timeout)
+	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		a.announce()
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(p []byte) (int, error) {
+	a.announce()
+	return a.ResponseWriter.Write(p)
+}
+
+// FlushError implements the interface of http.ResponseController.
+func (a *answer) FlushError() error {
+	a.announce()
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Flush implements http.Flusher.
+func (a *answer) Flush() { _ = a.FlushError() }
+
+// Unwrap returns the writer of the server to http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -26,6 +26,8 @@
 	stateServing
 	// stateIdle: the last answer was written, and no byte has arrived since.
 	stateIdle
+	// stateEnding: the last answer was written, and the server only waits for the caller to read it.
+	stateEnding
 )
 
 // longAgo is a deadline that has passed.
@@ -42,7 +44,8 @@
 	state connectionState
 	// since is when the state began or, in stateReceiving, when the last byte arrived.
 	since time.Time
-	// idleTimeout is the timeout in force when the connection became idle, and keepAlive the time that was announced then.
+	// idleTimeout is the timeout in force when the connection became idle, and keepAlive the time that the last answer
+	// announced.
 	idleTimeout time.Duration
 	keepAlive   time.Duration
 	// multiplexed is set if requests share the connection (HTTP/2).
@@ -120,7 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
-	if c.state != stateServing {
+	if c.state != stateServing && c.state != stateEnding {
 		c.state, c.since = stateReceiving, time.Now()
 	}
 }
@@ -179,7 +182,7 @@
 		c.state, c.since = stateServing, time.Now()
 	case http.StateIdle:
 		c.state, c.since = stateIdle, time.Now()
-		c.idleTimeout, c.keepAlive = time.Duration(c.drainer.idleTimeout.Load()), c.drainer.keepAlive()
+		c.idleTimeout = time.Duration(c.drainer.idleTimeout.Load())
 		c.drainer.signal()
 	}
 }
@@ -198,12 +201,32 @@
 	}
 }
 
-// closeIfIdle ends the connection if it has been idle for longer than the timeout and than the one in force when it
-// became idle.
+// setKeepAlive records the time that an answer announces.
+func (c *connection) setKeepAlive(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepAlive = timeout
+}
+
+// CloseWrite ends the direction to the caller. The server calls it when it has written the last answer.
+func (c *connection) CloseWrite() error {
+	inner, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	c.mu.Lock()
+	c.state, c.since = stateEnding, time.Now()
+	c.mu.Unlock()
+	c.drainer.signal()
+	return inner.CloseWrite()
+}
+
+// closeIfIdle ends the connection if it has been idle for longer than the timeout, than the one in force when it became
+// idle, and than the announced time.
 func (c *connection) closeIfIdle(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateIdle && time.Since(c.since) > max(timeout, c.idleTimeout) {
+	if c.state == stateIdle && time.Since(c.since) > max(timeout, c.idleTimeout, c.reuseTime()) {
 		c.end()
 	}
 }
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -23,7 +23,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,30 +105,10 @@
 	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.Handler = d.announce(server.Handler)
 	server.ConnState = d.trackState(server.ConnState)
+	server.ConnContext = addConnection(server.ConnContext)
 	return d
 }
 
-// announce adds to each answer how long its connection may stay idle or, if the server is leaving, that it ends.
-func (d *Drainer) announce(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		} else if timeout := d.keepAlive(); timeout > 0 {
-			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(timeout/time.Second)))
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// keepAlive returns the time that answers announce, in whole seconds; zero if they announce none.
-func (d *Drainer) keepAlive() time.Duration {
-	timeout := d.settings.KeepAlive
-	if idle := time.Duration(d.idleTimeout.Load()); idle > 0 {
-		timeout = min(timeout, idle)
-	}
-	return timeout.Truncate(time.Second)
-}
-
 // trackState follows the states of the server's connections, and then calls the server's own hook.
 func (d *Drainer) trackState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(conn net.Conn, state http.ConnState) {
@@ -160,7 +139,7 @@
 func (d *Drainer) Leave() { d.leaving.Store(true) }
 
 // CloseIdle closes the connections that have been idle for longer than the timeout. A connection that became idle under
-// a longer timeout keeps that one, since its caller may still rely on it.
+// a longer timeout keeps that one, since its caller may still rely on it, and so does one whose announced time is longer.
 func (d *Drainer) CloseIdle(timeout time.Duration) {
 	d.idleTimeout.Store(int64(timeout))
 	for _, c := range d.snapshot() {
