hostingemulator: the store can come back from a copy

Revisions go back and are given out again, also as ids of leases; leases that were granted since are gone, or all of them; the era in the header of all answers rises by one; a watch from a revision that the store does not have gets 410.

--- a/hostingemulator/store.go
+++ b/hostingemulator/store.go
@@ -73,12 +73,14 @@
 	compacted uint64
 	leases    map[uint64]lease
 	faults    StoreFaults
-	changed   chan struct{}
+	// era counts the restores. It is in the header Store-Era of all answers.
+	era     uint64
+	changed chan struct{}
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]item), leases: make(map[uint64]lease), revision: 10, changed: make(chan struct{})}
+	return &Store{items: make(map[string]item), leases: make(map[uint64]lease), revision: 10, era: 1, changed: make(chan struct{})}
 }
 
 // Listen listens on the address and serves the store until Close.
@@ -201,6 +203,7 @@
 		s.mu.Lock()
 		faults := s.faults
 		s.expireLeases()
+		s.setEra(w)
 		s.mu.Unlock()
 		if strings.HasPrefix(r.URL.Query().Get("prefix"), faults.DelayedPrefix) {
 			time.Sleep(faults.Delay)
@@ -221,6 +224,7 @@
 func (s *Store) handleRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	items := []item{}
 	for key, current := range s.items {
@@ -240,7 +244,8 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, revision, changed, compacted := s.eventsAfter(query.Get("prefix"), after), s.revision, s.changed, after < s.compacted
+		events, revision, changed, compacted := s.eventsAfter(query.Get("prefix"), after), s.revision, s.changed, after < s.compacted || after > s.revision
+		s.setEra(w)
 		s.mu.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
@@ -291,6 +296,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	for _, expected := range txn.Expected {
 		if s.items[expected.Key].Revision != expected.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -327,6 +333,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	s.revision++
 	ttl := time.Duration(wire.TTLMS) * time.Millisecond
 	s.leases[s.revision] = lease{ttl: ttl, expires: time.Now().Add(ttl)}
@@ -337,6 +344,7 @@
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	granted, exists := s.leases[id]
 	if !exists {
 		w.WriteHeader(http.StatusNotFound)
@@ -351,6 +359,7 @@
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	s.revokeLease(id)
 	writeJSON(w, map[string]any{})
 }
