--- a/follower/follower.go
+++ b/follower/follower.go
@@ -77,18 +77,12 @@
 	// the last outage. Only the goroutine of run uses them.
 	outage      bool
 	recoveredAt clocker.Instant
-	// listedAt is the position of the store at the last list, for the log. Only the goroutine of run uses it.
-	listedAt position
+	// listedAt is the revision of the store at the last list. Only the goroutine of run uses it.
+	listedAt storer.Version
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
 }
 
-// position is a position of the store: its era and its revision.
-type position struct {
-	era      storer.Era
-	revision storer.Version
-}
-
 // New returns a Follower that has not started.
 func New(settings Settings) *Follower {
 	if settings.Now == nil {
@@ -201,7 +195,7 @@
 		}
 		if first == 0 {
 			first = page.Revision
-			f.logList(position{era: page.Era, revision: page.Revision})
+			f.logList(page.Revision)
 		}
 		age = max(age, page.Age)
 		items = append(items, page.Items...)
@@ -214,14 +208,14 @@
 	return first, age, nil
 }
 
-// logList logs the position of the store at a list, and whether the store has gone back behind the last one.
-func (f *Follower) logList(at position) {
+// logList logs the revision of the store at a list, and whether the store has come back from a copy since the last one.
+func (f *Follower) logList(at storer.Version) {
 	last := f.listedAt
 	f.listedAt = at
-	f.settings.Logger.Info("prefix listed", "prefix", f.settings.Prefix, "revision", at.revision, "era", at.era)
-	if at.revision < last.revision || at.era != last.era && last != (position{}) {
-		f.settings.Logger.Warn("store has gone back", "prefix", f.settings.Prefix, "revision", at.revision, "era", at.era,
-			"last_revision", last.revision, "last_era", last.era)
+	f.settings.Logger.Info("prefix listed", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era())
+	if last != 0 && at.Era() != last.Era() {
+		f.settings.Logger.Warn("store has come back from a copy", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era(),
+			"last_revision", last.Revision(), "last_era", last.Era())
 	}
 }
 
@@ -233,13 +227,9 @@
 		return after, 0, true, err
 	}
 	if events.Compacted {
-		f.settings.Logger.Info("store has compacted the history; listing the prefix again", "prefix", f.settings.Prefix, "after", after, "era", events.Era)
+		f.settings.Logger.Info("store has compacted the history; listing the prefix again", "prefix", f.settings.Prefix, "after", after.Revision(), "era", after.Era())
 		return 0, 0, false, nil
 	}
-	if events.Era != 0 && events.Era != f.listedAt.era {
-		f.settings.Logger.Warn("events of another state of the store", "prefix", f.settings.Prefix, "after", after,
-			"listed_era", f.listedAt.era, "revision", events.Revision, "era", events.Era)
-	}
 	if len(events.Events) > 0 {
 		f.settings.Sink.HandleEvents(events.Events, events.AfterOutage || f.afterOutage())
 		if f.settings.BatchDelay != nil {
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -35,10 +35,6 @@
 // version of the newest write to any key is the revision of the store.
 type Version uint64
 
-// Era counts how often the store has come back from a copy, so that writes that it had acknowledged are gone and their
-// versions are given out again. It is zero if the platform tells none.
-type Era uint64
-
 // LeaseID identifies a lease that the platform granted.
 type LeaseID string
 
@@ -58,9 +54,8 @@
 	Items []Item
 	// More is true if there are further keys after the last item.
 	More bool
-	// Revision is the revision of the store when the page was read, and Era its era.
+	// Revision is the revision of the store when the page was read.
 	Revision Version
-	Era      Era
 	// Age is how long ago the store confirmed the page. It is zero if the page was read from the store itself.
 	Age time.Duration
 }
@@ -86,8 +81,6 @@
 	// Revision is the revision of the store up to which the watch reported events; the next watch
 	// starts after it.
 	Revision Version
-	// Era is the era of the store when it reported the events.
-	Era Era
 	// Compacted is true if the platform has discarded events after the requested version; the
 	// caller must then list the keys again.
 	Compacted bool
