follower: a list is made anew, as after an outage, when the store comes back from a copy

Changes that were written after a restore, up to the revision at which a follower had stood before, were missed without a sign: a watch from a revision that has been given out again gets no 410. Keys that a restore lost with their leases were taken for deleted, and a list could mix pages of two states.

Cause: a position was taken for valid in every state of the store. Events of a later era than the position's are now discarded and lead to a list; that list counts as one after an outage. Answers of an earlier era are refused, and the pages of a list have to be from one era.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,8 +41,8 @@
 
 // Sink receives the items and events that a Follower reads. Its methods are called by one goroutine.
 type Sink interface {
-	// Reset replaces all items. afterOutage is true if the store was unreachable until shortly before, so
-	// that changes may have been missed, and keys may be missing because their leases expired meanwhile.
+	// Reset replaces all items. afterOutage is true if the store was unreachable until shortly before or has come back
+	// from a copy, so that changes may have been missed, and keys may be missing because their leases expired or are lost.
 	Reset(items []storer.Item, afterOutage bool)
 	// HandleEvents applies events, which may be older than the items of the last Reset. afterOutage has the
 	// same meaning as in Reset.
@@ -77,7 +77,7 @@
 	// the last outage. Only the goroutine of run uses them.
 	outage      bool
 	recoveredAt clocker.Instant
-	// listedAt is the revision of the store at the last list. Only the goroutine of run uses it.
+	// listedAt is the revision of the store at the last list; zero before it. Only the goroutine of run uses it.
 	listedAt storer.Version
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
@@ -171,6 +171,14 @@
 	}
 }
 
+// noteRestore records that the store has come back from a copy. That counts as an outage, since keys may be missing although
+// their owners still run.
+func (f *Follower) noteRestore(at storer.Version) {
+	f.recoveredAt = f.settings.Now()
+	f.settings.Logger.Warn("store has come back from a copy", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era(),
+		"listed_revision", f.listedAt.Revision(), "listed_era", f.listedAt.Era())
+}
+
 // afterOutage reports whether the store was unreachable until now or until less than recoveryWindow ago.
 func (f *Follower) afterOutage() bool {
 	return f.outage || f.recoveredAt != 0 && f.settings.Now().Sub(f.recoveredAt) < recoveryWindow
@@ -184,7 +192,8 @@
 }
 
 // list reads all pages and passes their items to Sink.Reset. It returns the revision of the first page and the greatest age
-// of a page. The watch starts from that revision, since the pages do not form one snapshot.
+// of a page. The watch starts from that revision, since the pages do not form one snapshot. It fails with a storer.EraError if
+// the pages are from several eras of the store, or from an earlier one than the last list.
 func (f *Follower) list(ctx context.Context) (first storer.Version, age time.Duration, err error) {
 	var items []storer.Item
 	last := ""
@@ -195,7 +204,9 @@
 		}
 		if first == 0 {
 			first = page.Revision
-			f.logList(page.Revision)
+		}
+		if err := f.checkPage(first, page); err != nil {
+			return 0, 0, err
 		}
 		age = max(age, page.Age)
 		items = append(items, page.Items...)
@@ -204,23 +215,28 @@
 		}
 		last = page.Items[len(page.Items)-1].Key
 	}
+	if f.listedAt != 0 && first.Era() != f.listedAt.Era() {
+		f.noteRestore(first)
+	}
+	f.listedAt = first
+	f.settings.Logger.Info("prefix listed", "prefix", f.settings.Prefix, "revision", first.Revision(), "era", first.Era(), "items", len(items))
 	f.settings.Sink.Reset(items, f.afterOutage())
 	return first, age, nil
 }
 
-// logList logs the revision of the store at a list, and whether the store has come back from a copy since the last one.
-func (f *Follower) logList(at storer.Version) {
-	last := f.listedAt
-	f.listedAt = at
-	f.settings.Logger.Info("prefix listed", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era())
-	if last != 0 && at.Era() != last.Era() {
-		f.settings.Logger.Warn("store has come back from a copy", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era(),
-			"last_revision", last.Revision(), "last_era", last.Era())
+// checkPage returns a storer.EraError if a page is from another era than the first one, or from an earlier one than the last
+// list.
+func (f *Follower) checkPage(first storer.Version, page storer.Page) error {
+	expected, current := max(first.Era(), f.listedAt.Era()), page.Revision.Era()
+	if current != first.Era() || current < expected {
+		return &storer.EraError{Expected: expected, Current: current}
 	}
+	return nil
 }
 
 // watch reads the events after a revision. It returns the revision from which the next watch continues, and the age of the
-// events. listed is false if the store has compacted these events, so that the prefix has to be listed again.
+// events. listed is false if the store has compacted these events or has come back from a copy, so that the prefix has to be
+// listed again. The events of another era are discarded: which ones came before them is not known.
 func (f *Follower) watch(ctx context.Context, after storer.Version) (next storer.Version, age time.Duration, listed bool, err error) {
 	events, err := f.settings.Store.Watch(ctx, f.settings.Prefix, after, f.settings.Wait)
 	if err != nil {
@@ -230,6 +246,14 @@
 		f.settings.Logger.Info("store has compacted the history; listing the prefix again", "prefix", f.settings.Prefix, "after", after.Revision(), "era", after.Era())
 		return 0, 0, false, nil
 	}
+	current := events.Revision.Era()
+	if current < after.Era() {
+		return after, 0, true, &storer.EraError{Expected: after.Era(), Current: current}
+	}
+	if current > after.Era() {
+		f.settings.Logger.Info("events of a later era discarded; listing the prefix again", "prefix", f.settings.Prefix, "after", after.Revision(), "era", after.Era(), "current_era", current)
+		return 0, 0, false, nil
+	}
 	if len(events.Events) > 0 {
 		f.settings.Sink.HandleEvents(events.Events, events.AfterOutage || f.afterOutage())
 		if f.settings.BatchDelay != nil {
