tracker: a restore of the store does not bring back targets that are leaving or gone

After a restore the list has old entries of targets whose leaving or end daemons had acknowledged; requests reached them again. Cause: any entry of a higher version was taken, while a restore gives old entries new positions.

An incarnation that was known to be leaving stays so across eras.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -5,6 +5,10 @@
 // unless the store was unreachable shortly before: the lease of a live target may then have expired, and its entry
 // with it, before the target could write the entry again. Such a target is kept for MissingEntryGrace.
 //
+// When the store has come back from a copy, it may have old entries of targets that are known to be leaving or gone. Such an
+// incarnation does not return by them: it stays leaving, and an entry of one that is gone counts only once it was written
+// again or has stayed for RestoredEntryDelay.
+//
 // # Usage
 //
 //	declarations := tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
@@ -120,6 +124,8 @@
 	version storer.Version
 	// missing is set if the entry was deleted and the target is kept for MissingEntryGrace.
 	missing bool
+	// left is set if the incarnation was known to be leaving in an earlier era of the store.
+	left bool
 }
 
 // TargetTracker tracks the targets by their entries in the store.
@@ -128,13 +134,17 @@
 
 	mu      sync.Mutex
 	entries map[string]entry
-	closed  bool
-	timers  []*time.Timer
+	// departures are the targets that were removed lately, by the keys of their entries.
+	departures map[string]departure
+	// era is the highest era of the store that an item was read in.
+	era    storer.Era
+	closed bool
+	timers []*time.Timer
 }
 
 // NewTargetTracker returns a TargetTracker without any target.
 func NewTargetTracker(settings TargetTrackerSettings) *TargetTracker {
-	return &TargetTracker{settings: settings, entries: make(map[string]entry)}
+	return &TargetTracker{settings: settings, entries: make(map[string]entry), departures: make(map[string]departure)}
 }
 
 // Reset puts the items, except those that are older than the known entries, and removes the targets whose entries are
@@ -145,13 +155,21 @@
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
-		t.put(item)
+		t.era = max(t.era, item.Version.Era())
+		if !t.restored(item) {
+			t.put(item)
+		}
 	}
 	for key := range t.entries {
 		if !present[key] {
 			t.remove(key, afterOutage)
 		}
 	}
+	for key := range t.departures {
+		if !present[key] {
+			t.forgetRestored(key)
+		}
+	}
 	t.publish()
 }
 
@@ -161,10 +179,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, event := range events {
+		t.era = max(t.era, event.Item.Version.Era())
 		switch {
 		case event.Kind == storer.EventPut:
 			t.put(event.Item)
 		case event.Item.Version > t.entries[event.Item.Key].version:
+			t.forgetRestored(event.Item.Key)
 			t.remove(event.Item.Key, afterOutage)
 		}
 	}
@@ -192,11 +212,14 @@
 		t.settings.Logger.Warn("invalid entry of a target ignored", "key", item.Key, "revision", item.Version, "error", err)
 		return
 	}
+	left := exists && t.hasLeft(known, target, item.Version)
+	target.Leaving = target.Leaving || left
 	if !exists || known.target.Leaving != target.Leaving || !known.target.Started.Equal(target.Started) {
 		t.settings.Logger.Info("target added or changed", "id", target.ID, "service", target.Service, "address", target.Address,
 			"leaving", target.Leaving, "started", target.Started, "revision", item.Version)
 	}
-	t.entries[item.Key] = entry{target: target, version: item.Version}
+	t.entries[item.Key] = entry{target: target, version: item.Version, left: left}
+	delete(t.departures, item.Key)
 }
 
 // remove removes a target whose entry was deleted. After an outage it keeps the target for MissingEntryGrace, since
@@ -208,7 +231,7 @@
 	}
 	t.settings.Logger.Info("entry of a target deleted", "id", known.target.ID, "after_outage", afterOutage)
 	if !afterOutage {
-		delete(t.entries, key)
+		t.depart(key)
 		return
 	}
 	known.missing = true
@@ -224,7 +247,7 @@
 		return
 	}
 	t.settings.Logger.Info("target removed; its entry was not written again", "id", t.entries[key].target.ID)
-	delete(t.entries, key)
+	t.depart(key)
 	t.publish()
 }
 
