repeater: copies from before a restore of the store are not read, and their readers list anew

A daemon that reads through another one could go on with what a restore had undone: a copy told it only what differed from its own state before, and a neighbour that had not heard of the restore answered with a later position than the store.

A copy forgets its deletions with the era, so that readers of an earlier one list all items; a reader leaves sources alone whose answers are of an earlier era than it has heard of.

Measured: before, TestReaderOfEarlierEraListsAgain and TestCopyOfEarlierEraIsNotRead failed (a reader at revision 30 got no changes; the list was of revision 90 of era 1). Each fails again without its half of the change.

--- a/repeater/copy.go
+++ b/repeater/copy.go
@@ -118,6 +118,9 @@
 	for _, key := range c.missing {
 		c.remove(storer.Item{Key: key, Version: revision})
 	}
+	if revision.Era() > c.revision.Era() {
+		c.horizon, c.deletions = revision, nil // A reader may know more of the earlier era than this copy does.
+	}
 	c.missing, c.reset = nil, false
 	c.revision, c.contact = max(c.revision, revision), max(c.contact, contact)
 }
--- a/repeater/reader.go
+++ b/repeater/reader.go
@@ -52,6 +52,8 @@
 	mu       sync.Mutex
 	sources  map[netip.AddrPort]*source
 	fallback bool
+	// era is the latest era of the store in any answer. Answers of earlier ones tell what the store has lost.
+	era storer.Era
 }
 
 // source is a daemon from which this one reads.
@@ -81,7 +83,17 @@
 			return page, nil
 		}
 	}
-	return r.settings.Store.List(ctx, prefix, after)
+	page, err = r.settings.Store.List(ctx, prefix, after)
+	r.noteEra(page.Revision)
+	return page, err
+}
+
+// noteEra records the era of an answer, and reports whether no answer of a later one is known.
+func (r *Reader) noteEra(revision storer.Version) (current bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era = max(r.era, revision.Era())
+	return revision.Era() == r.era
 }
 
 // Watch returns the changes under a prefix after a revision.
@@ -93,7 +105,9 @@
 	if r.settings.Serves() {
 		wait = min(wait, directWait)
 	}
-	return r.settings.Store.Watch(ctx, prefix, after, wait)
+	events, err := r.settings.Store.Watch(ctx, prefix, after, wait)
+	r.noteEra(events.Revision)
+	return events, err
 }
 
 // directWait is how long a daemon that reads for others lets the store wait for changes. The age of what it tells them is
@@ -109,14 +123,14 @@
 			continue
 		}
 		events, err := r.call(ctx, s, address, prefix, after, wait)
-		if err == nil && events.Age <= maxSourceAge {
+		if err == nil && events.Age <= maxSourceAge && r.noteEra(events.Revision) {
 			r.logSource(address, true)
 			return events, true
 		}
 		if ctx.Err() != nil {
 			return storer.Events{}, false
 		}
-		r.pause(address, s, events.Age, err)
+		r.pause(address, s, events, err)
 	}
 	if len(addresses) > 0 {
 		r.logSource(netip.AddrPort{}, false)
@@ -148,8 +162,8 @@
 	return s, s.ctx.Err() == nil
 }
 
-// pause ends all calls to a source that failed, and keeps it from being asked for sourcePause.
-func (r *Reader) pause(address netip.AddrPort, s *source, age time.Duration, err error) {
+// pause ends all calls to a source that failed or gave no sound answer, and keeps it from being asked for sourcePause.
+func (r *Reader) pause(address netip.AddrPort, s *source, events storer.Events, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -157,7 +171,7 @@
 	}
 	s.cancel()
 	s.pausedUntil = r.settings.Now().Add(sourcePause)
-	r.settings.Logger.Info("source of the store's items paused", "source", address, "age_ms", age.Milliseconds(), "error", err)
+	r.settings.Logger.Info("source of the store's items paused", "source", address, "age_ms", events.Age.Milliseconds(), "era", events.Revision.Era(), "known_era", r.era, "error", err)
 }
 
 // logSource logs a change between reading through another daemon and reading the store.
