upgrader: one holder of the update lock at a time across restores of the store

After a restore the next holder could send orders within the take-over delay of the last one, and the lock could be nobody's for good. Cause: the wait is counted from the former holder's key and from the end of its lease at the store, but a restore brings back an older key, and frees the lock while its holder may still order; a lock could be bound to a lease of another daemon that has got the same id.

The key of the former holder now contains the era. If that is not the era of the acquisition, the next holder waits for the whole delay and for as long as the last one may order without a renewal. A holder that reads keys of a later era steps down; a lease of an earlier era is not used; a lock that names this daemon, but is bound to a lease that it has not tried, is deleted. Tokens rise and are unique, since versions do.

--- a/upgrader/fleet_test.go
+++ b/upgrader/fleet_test.go
@@ -32,7 +32,11 @@
 	revision storer.Version
 	// isolated contains the daemons that cannot reach the store.
 	isolated map[string]bool
-	daemons  map[string]*daemon
+	// era is the era of the store, and copied the state to which restore brings it back.
+	era     storer.Era
+	copied  storeCopy
+	granted uint64
+	daemons map[string]*daemon
 	// lostCommitAnswers is the number of next commits that take effect but return an UnknownOutcomeError.
 	lostCommitAnswers int
 	wanted            int64
@@ -73,7 +77,9 @@
 	upgrading  map[string]bool
 	// unrenewedSince is when the renewals of the lease stopped; zero while the lease is renewed.
 	unrenewedSince time.Time
-	applying       sync.Mutex
+	// behind is set from a restore of the store until the daemon has listed the keys again. It discards events meanwhile.
+	behind   bool
+	applying sync.Mutex
 }
 
 func newFleet(engines int, daemons ...string) *fleet {
@@ -173,7 +179,9 @@
 func (d *daemon) applyEvents(events []storer.Event) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
-	d.upgrader.HandleEvents(events, false)
+	if !d.isBehind() {
+		d.upgrader.HandleEvents(events, false)
+	}
 }
 
 func (d *daemon) Held() (storer.LeaseID, bool) {
@@ -208,7 +216,7 @@
 	version := f.revision
 	var events []storer.Event
 	for _, put := range transaction.Puts {
-		item := storer.Item{Key: put.Key, Value: put.Value, Version: version, Lease: put.Lease}
+		item := storer.Item{Key: put.Key, Value: put.Value, Version: version, Lease: inEra(put.Lease, f.era)}
 		f.items[put.Key] = item
 		events = append(events, storer.Event{Kind: storer.EventPut, Item: item})
 	}
@@ -216,8 +224,8 @@
 		delete(f.items, key)
 		events = append(events, storer.Event{Kind: storer.EventDelete, Item: storer.Item{Key: key, Version: version}})
 	}
-	lost := f.lostCommitAnswers > 0
-	if lost {
+	lost := f.lostCommitAnswers > 0 || f.ofOtherEra(transaction)
+	if f.lostCommitAnswers > 0 {
 		f.lostCommitAnswers--
 	}
 	f.mu.Unlock()
--- a/upgrader/former.go
+++ b/upgrader/former.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
 // formerHolder is the daemon that held the update lock last.
@@ -14,24 +16,44 @@
 	released bool
 	// idle is the time from the daemon's last order to the release.
 	idle time.Duration
+	// era is the era of the store in which the daemon held the lock.
+	era storer.Era
 }
 
-// encodeFormer writes the name, followed by the idle time in milliseconds if the lock was released.
+// notReleased stands for the idle time of a lock that was not released, if an era follows.
+const notReleased = "-"
+
+// encodeFormer writes the name, followed by the idle time in milliseconds if the lock was released, and by the era unless that
+// is zero.
 func encodeFormer(former formerHolder) []byte {
-	if !former.released {
-		return []byte(former.name)
+	fields := []string{former.name}
+	switch {
+	case former.released:
+		fields = append(fields, strconv.FormatInt(former.idle.Milliseconds(), 10))
+	case former.era != 0:
+		fields = append(fields, notReleased)
+	}
+	if former.era != 0 {
+		fields = append(fields, strconv.FormatUint(uint64(former.era), 10))
 	}
-	return []byte(former.name + " " + strconv.FormatInt(former.idle.Milliseconds(), 10))
+	return []byte(strings.Join(fields, " "))
 }
 
-// decodeFormer reads the former holder. An idle time that cannot be parsed counts as zero.
+// decodeFormer reads the former holder. An idle time or an era that cannot be parsed counts as zero.
 func decodeFormer(value []byte) formerHolder {
-	name, idle, released := strings.Cut(string(value), " ")
+	name, rest, _ := strings.Cut(string(value), " ")
+	idle, era, _ := strings.Cut(rest, " ")
 	count, err := strconv.ParseInt(idle, 10, 64)
 	if err != nil || count < 0 {
 		count = 0
 	}
-	return formerHolder{name: name, released: released, idle: time.Duration(count) * time.Millisecond}
+	number, err := strconv.ParseUint(era, 10, 64)
+	if err != nil {
+		number = 0
+	}
+	return formerHolder{
+		name: name, released: idle != "" && idle != notReleased, idle: time.Duration(count) * time.Millisecond, era: storer.Era(number),
+	}
 }
 
 // idleTime returns the least time from the former holder's last order to the deletion of the lock's key.
--- a/upgrader/lock.go
+++ b/upgrader/lock.go
@@ -100,29 +100,24 @@
 
 // acquire tries to acquire the update lock. If this daemon has no lease yet, it only requests one with SetWanted.
 //
-// If the lock's former holder is another daemon, this daemon sends its first order only when TakeOverDelay, less the
-// former holder's idle time, has passed.
+// The first order is sent only when takeOverWait has passed.
 func (u *Upgrader) acquire(ctx context.Context) {
 	u.settings.Lease.SetWanted(true)
 	lease, held := u.settings.Lease.Held()
-	if !held {
+	if !held || u.isLost(lease) {
 		return // The owner of the Upgrader calls Wake once the lease has been acquired (see leaser.Settings.OnAcquired).
 	}
 	u.mu.Lock()
 	formerItem, known := u.keys[formerKey]
-	former := decodeFormer(formerItem.Value)
-	wait := time.Duration(0)
-	if known && former.name != u.settings.Name {
-		wait = max(u.settings.TakeOverDelay-former.idleTime(u.settings.LeaseTTL), 0)
-	}
+	u.noteAttempt(lease)
 	u.vacantSince = time.Time{}
-	u.lastAcquisition = acquisition{lease: lease, former: former.name, ordersFrom: u.settings.Now().Add(wait)}
+	u.lastAcquisition = acquisition{lease: lease, former: decodeFormer(formerItem.Value), known: known, at: u.settings.Now()}
 	u.mu.Unlock()
 	version, err := u.settings.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: holderKey}},
 		Puts: []storer.Put{
 			{Key: holderKey, Value: []byte(u.settings.Name), Lease: lease},
-			{Key: formerKey, Value: encodeFormer(formerHolder{name: u.settings.Name})},
+			{Key: formerKey, Value: encodeFormer(formerHolder{name: u.settings.Name, era: lease.Era()})},
 		},
 	})
 	var conflict *storer.ConflictError
@@ -138,10 +133,29 @@
 
 // acquisition is an attempt of this daemon to acquire the update lock.
 type acquisition struct {
-	lease  storer.LeaseID
-	former string
-	// ordersFrom is the earliest time of the first order.
-	ordersFrom clocker.Instant
+	lease storer.LeaseID
+	// former is the former holder if it is known.
+	former formerHolder
+	known  bool
+	// at is when the attempt was sent.
+	at clocker.Instant
+}
+
+// takeOverWait returns how long this daemon, as the holder since its last acquisition, waits with its first order after it:
+// until TakeOverDelay has passed since the last order of the former holder, if that is another daemon. The caller holds mu.
+//
+// A former holder of an earlier era, or none after an earlier era, may not be the last one. The last one may send orders for
+// up to MaxOrderLeaseAge after the store came back, until it learns from its renewal that its lease is lost.
+func (u *Upgrader) takeOverWait(era storer.Era) time.Duration {
+	former := u.lastAcquisition.former
+	switch {
+	case u.lastAcquisition.known && former.era != era, !u.lastAcquisition.known && u.firstEra != era:
+		return u.settings.TakeOverDelay + MaxOrderLeaseAge
+	case !u.lastAcquisition.known || former.name == u.settings.Name:
+		return 0
+	default:
+		return max(u.settings.TakeOverDelay-former.idleTime(u.settings.LeaseTTL), 0)
+	}
 }
 
 // becomeHolder makes this daemon the holder. The version of the lock's key is its fencing token.
@@ -151,8 +165,10 @@
 	if u.fencingToken != 0 || u.closed {
 		return
 	}
-	u.fencingToken, u.lease, u.ordersFrom = fencingToken, u.lastAcquisition.lease, u.lastAcquisition.ordersFrom
-	u.settings.Logger.Info("update lock acquired", "fence", fencingToken, "former", u.lastAcquisition.former,
+	u.noteEra(fencingToken)
+	u.fencingToken, u.lease = fencingToken, u.lastAcquisition.lease
+	u.ordersFrom = u.lastAcquisition.at.Add(u.takeOverWait(fencingToken.Era()))
+	u.settings.Logger.Info("update lock acquired", "fence", fencingToken, "era", fencingToken.Era(), "former", u.lastAcquisition.former.name,
 		"first_order_after_ms", u.ordersFrom.Sub(u.settings.Now()).Milliseconds())
 }
 
@@ -183,7 +199,9 @@
 	holder, locked := u.keys[holderKey]
 	fencingToken := u.fencingToken
 	u.mu.Unlock()
-	if fencingToken != 0 && locked && holder.Version > fencingToken {
+	if fencingToken != 0 && u.inLaterEra(fencingToken) {
+		u.stepDown("the store has come back from a copy")
+	} else if fencingToken != 0 && locked && holder.Version > fencingToken {
 		u.stepDown("another daemon has taken it")
 	}
 	u.takeOwnLock()
--- a/upgrader/upgrader.go
+++ b/upgrader/upgrader.go
@@ -156,6 +156,8 @@
 	// its key is not known.
 	keys   map[string]storer.Item
 	synced bool
+	// firstEra and era are the first and the latest era of the store that this daemon has seen; zero before.
+	firstEra, era storer.Era
 	// vacantSince is when this daemon first saw that the lock is free. It is zero while the lock is held
 	// and after each attempt to acquire it.
 	vacantSince time.Time
@@ -164,6 +166,8 @@
 	started      time.Time
 	// lastAcquisition is this daemon's last attempt to acquire the lock.
 	lastAcquisition acquisition
+	// attempted are the leases under which this daemon has tried to acquire the lock lately.
+	attempted []storer.LeaseID
 	// closed is set by Close. From then on, this daemon no longer becomes the holder.
 	closed bool
 	// lastOrderAt is when this daemon sent its last order.
@@ -249,7 +253,7 @@
 	defer cancel()
 	u.mu.Lock()
 	fencingToken := u.fencingToken
-	former := formerHolder{name: u.settings.Name, released: true, idle: u.settings.Now().Sub(u.lastOrderAt)}
+	former := formerHolder{name: u.settings.Name, released: true, idle: u.settings.Now().Sub(u.lastOrderAt), era: fencingToken.Era()}
 	u.mu.Unlock()
 	_, err := u.settings.Store.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: holderKey, Version: fencingToken}},
@@ -315,6 +319,7 @@
 		u.stepDown("the lease has ended")
 	}
 	u.takeOwnLock()
+	u.releaseLostLock(ctx)
 	if u.shouldAcquire() {
 		u.acquire(ctx)
 	}
@@ -338,6 +343,7 @@
 	u.mu.Lock()
 	clear(u.keys)
 	for _, item := range items {
+		u.noteEra(item.Version)
 		u.keys[item.Key] = item
 	}
 	u.synced = true
@@ -352,6 +358,7 @@
 		if event.Item.Version < u.keys[event.Item.Key].Version {
 			continue
 		}
+		u.noteEra(event.Item.Version)
 		if event.Kind == storer.EventDelete {
 			delete(u.keys, event.Item.Key)
 			continue
