leaser, assembler: leases are renewed at once when the store has come back from a copy

Daemons that the store had forgotten wrote their entries again only with their next renewal, up to 4 s later. Cause: a lease was asked for at its interval only. The contact of any follower in a later era now renews both leases; a lost one is replaced.

Measured: TestRenewNowReplacesLostLease fails without the signal. A trial test of two daemons, whose entries have to be back within 3 s, failed without the call and passed with it; it is not kept, since it asserts the wall clock.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -171,7 +171,7 @@
 		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
 	} {
 		settings.Store, settings.Logger = d.sharing.reader, d.loggerFor("follower")
-		v.followers = append(v.followers, follower.New(d.sharing.copied(settings)))
+		v.followers = append(v.followers, follower.New(d.noticeRestores(d.sharing.copied(settings))))
 	}
 	v.declarationsFollower = v.followers[0]
 }
--- a/assembler/coordination.go
+++ b/assembler/coordination.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/leaser"
 	"github.com/rosemaryrill/rosemaryrill/platform"
+	"github.com/rosemaryrill/rosemaryrill/storer"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
 	"github.com/rosemaryrill/rosemaryrill/upgrader"
 )
@@ -38,6 +41,23 @@
 	})}
 }
 
+// noticeRestores returns the settings of a follower after whose contacts in a later era of the store the daemon renews its
+// leases at once. The store has lost them, and the entries that are bound to them, if they were granted after the copy from
+// which it came back.
+func (d *Daemon) noticeRestores(settings follower.Settings) follower.Settings {
+	var known storer.Version
+	onContact := settings.OnContact
+	settings.OnContact = func(revision storer.Version, contact clocker.Instant) {
+		onContact(revision, contact)
+		if known != 0 && revision.Era() > known.Era() {
+			d.coordination.presenceLease.RenewNow()
+			d.coordination.upgraderLease.RenewNow()
+		}
+		known = revision
+	}
+	return settings
+}
+
 // renewalInterval returns the time between two renewals of the upgrader's lease. The holder of the update
 // lock renews it more often, since it sends orders only while the last renewal is younger than
 // upgrader.MaxOrderLeaseAge.
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -77,8 +77,8 @@
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
 
-	// wake is signalled when the lease becomes wanted.
-	wake chan struct{}
+	// wake is signalled when the lease becomes wanted, and renew when it is to be renewed at once.
+	wake, renew chan struct{}
 
 	mu     sync.Mutex
 	wanted bool
@@ -100,7 +100,7 @@
 	if settings.OnAcquired == nil {
 		settings.OnAcquired = func() {}
 	}
-	return &Leaser{settings: settings, cancel: func() {}, wake: make(chan struct{}, 1), wanted: !settings.OnDemand}
+	return &Leaser{settings: settings, cancel: func() {}, wake: make(chan struct{}, 1), renew: make(chan struct{}, 1), wanted: !settings.OnDemand}
 }
 
 // Start acquires and renews the lease until Close or the end of ctx.
@@ -144,6 +144,27 @@
 	}
 }
 
+// RenewNow renews the lease without waiting for the next interval, for example because the store may have lost it. A lease that
+// the store does not have any more is replaced by a new one.
+func (l *Leaser) RenewNow() {
+	select {
+	case l.renew <- struct{}{}:
+	default:
+	}
+}
+
+// waitForRenewal waits for the given time or for RenewNow, and reports whether ctx is still active.
+func (l *Leaser) waitForRenewal(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.renew:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 func (l *Leaser) isWanted() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -215,7 +236,7 @@
 // renewals.
 func (l *Leaser) keepAlive(ctx context.Context) {
 	wait := l.settings.RenewalInterval()
-	for waiter.Sleep(ctx, wait) {
+	for l.waitForRenewal(ctx, wait) {
 		sentAt := l.settings.Now()
 		lease, _ := l.Held()
 		if !l.isWanted() {
@@ -225,7 +246,7 @@
 		ttl, err := l.settings.Store.Renew(ctx, lease)
 		var expired *storer.NotFoundError
 		if errors.As(err, &expired) {
-			l.settings.Logger.Warn("lease expired", "lease", lease)
+			l.settings.Logger.Warn("lease expired", "lease", lease, "error", err)
 			l.setLease(storer.NoLease, sentAt, 0)
 			return
 		}
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -222,3 +222,16 @@
 		}
 	})
 }
+
+// Guards against a daemon that others do not know for seconds (CONFIG): the store has lost the lease with the daemon's entry,
+// and the daemon hears of it between two renewals.
+func TestRenewNowReplacesLostLease(t *testing.T) {
+	withLeaser(t, func(l *leaser.Leaser, s *store) {
+		s.withLock(func() { clear(s.expiry) })
+		l.RenewNow()
+		time.Sleep(10 * time.Millisecond)
+		if lease, held := l.Held(); !held || !s.leaseValid(lease) || s.count().puts != 2 {
+			t.Errorf("lease %s is held: %v, %d entries were written", lease, held, s.count().puts)
+		}
+	})
+}
