assembler, repeater: a daemon that starts learns the configuration that others have in force

A daemon that started after a restore of the store, before operators had written again, refused confirmed routes with 404 and accepted keys that were taken away. Cause: only the processes that had read the newest configuration knew it.

The copies that daemons keep for each other keep declarations that are newer by their versions than what a restore has brought back.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -102,6 +103,7 @@
 	broadcaster  *broadcaster.Broadcaster
 	cachePolling cachePolling
 	sharing      *sharedStore
+	catchUp      catchUp
 	startTime    time.Time
 	stopping     atomic.Bool
 	cancel       context.CancelFunc
@@ -123,6 +125,7 @@
 		store:     platform.NewStore(settings.Platform[0]),
 		connector: connector.New(connector.Settings{}),
 		startTime: time.Now(),
+		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
 	d.hosted.Store(&settings.Hosted)
 	if err := d.createObserver(ctx); err != nil {
@@ -218,6 +221,7 @@
 	for _, f := range d.view.followers {
 		group.Add(f.Close())
 	}
+	d.catchUp.tasks.Wait()
 	group.Add(d.sharing.close())
 	group.Add(d.view.targets.Close())
 	group.Add(d.coordination.upgraderLease.Close())
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -99,6 +99,7 @@
 	d.broadcaster.SetPeers(receivers)
 	d.view.placer.SetPeers(names)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
+	d.catchUpWith(receivers)
 	d.cachePolling.mu.Lock()
 	defer d.cachePolling.mu.Unlock()
 	d.cachePolling.peers = peers
--- a/assembler/restore_test.go
+++ b/assembler/restore_test.go
@@ -72,3 +72,31 @@
 	f.store.Put("op/version/"+model, map[string]any{"model": model, "version": 3})
 	f.awaitWeights(3)
 }
+
+// Guards against a daemon that starts with an older configuration than the others have in force (CONFIG): the store has come
+// back from a copy, and the operators have not written again yet. A confirmed route must not be refused, and a key that was
+// taken away must not be accepted.
+func TestDaemonThatStartsAfterRestoreKnowsConfirmedConfiguration(t *testing.T) {
+	f := newFleet(t, 2)
+	f.configure(nil, validKey, "key-3")
+	old := f.store.Copy()
+	f.configure([]string{"new"}, validKey)
+	for _, d := range f.daemons {
+		f.await("new route", func() bool { return f.call(d, http.MethodGet, "/new/a", "n", "").status == 200 })
+	}
+	f.restore(old)
+	f.await("entries of the daemons", func() bool {
+		return f.store.Value("rill/hosts/daemon-0") != "" && f.store.Value("rill/hosts/daemon-1") != ""
+	})
+	started := f.start(2)
+	for i := range 10 {
+		if r := f.call(started, http.MethodGet, "/new/a", fmt.Sprint("c", i), ""); r.status != 200 {
+			t.Errorf("a confirmed route: %+v", r)
+		}
+		if r := f.call(started, http.MethodGet, "/look/a", fmt.Sprint("k", i), "", "Authorization", "Token key-3"); r.status != 401 {
+			t.Errorf("a key that was taken away: %+v", r)
+		}
+	}
+	f.configure([]string{"new", "newer"}, validKey)
+	f.await("newer route", func() bool { return f.call(started, http.MethodGet, "/newer/a", "n", "").status == 200 })
+}
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -56,6 +56,9 @@
 	if settings.Prefix == platform.TargetsPrefix {
 		copySettings.Equivalent = sameTarget
 	}
+	if settings.Prefix == platform.DeclarationsPrefix {
+		copySettings.Supersedes = supersedes
+	}
 	items := repeater.NewCopy(copySettings)
 	s.copies[settings.Prefix] = items
 	settings.Sink, settings.OnContact = items, items.Confirm
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -24,10 +24,16 @@
 	placer               *placer.Placer
 	attributor           *attributor.Attributor
 	upgrader             *upgrader.Upgrader
+	caughtUp             func() bool
 }
 
-// Catalog returns the current configuration, or nil before the first was read.
-func (v *deploymentView) Catalog() *cataloger.Catalog { return v.declarations.Catalog() }
+// Catalog returns the current configuration, or nil before the first was read and other daemons were asked for theirs.
+func (v *deploymentView) Catalog() *cataloger.Catalog {
+	if !v.caughtUp() {
+		return nil
+	}
+	return v.declarations.Catalog()
+}
 
 // ContactAge returns the time since the configuration was last known to be the newest.
 func (v *deploymentView) ContactAge() time.Duration { return v.declarationsFollower.ContactAge() }
@@ -58,7 +64,7 @@
 }
 
 func (d *Daemon) newDeploymentView() *deploymentView {
-	v := &deploymentView{}
+	v := &deploymentView{caughtUp: d.catchUp.done.Load}
 	v.placer = placer.New(placer.Settings{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		Seed: rand.Uint64(),
--- a/repeater/copy.go
+++ b/repeater/copy.go
@@ -22,6 +22,9 @@
 	Sink follower.Sink
 	// Equivalent reports whether readers need not learn that an item was replaced by another one. Default: never.
 	Equivalent func(before, after storer.Item) bool
+	// Supersedes reports whether a known item stays in place of one that a restore of the store has brought back, since its
+	// contents are newer. If it is set, items that a restore has lost stay too. Default: never.
+	Supersedes func(known, restored storer.Item) bool
 	// Now is the clock of the ages. Default: clocker.Now.
 	Now func() clocker.Instant
 }
@@ -72,13 +75,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(items))
+	var era storer.Era
 	for _, item := range items {
 		present[item.Key] = true
+		era = max(era, item.Version.Era())
 		c.put(item)
 	}
 	c.missing, c.reset = nil, true
-	for key := range c.items {
-		if !present[key] {
+	for key, known := range c.items {
+		if kept := c.settings.Supersedes != nil && known.Version.Era() < era; !present[key] && !kept {
 			c.missing = append(c.missing, key)
 		}
 	}
@@ -131,6 +136,9 @@
 	if exists && item.Version <= known.Version {
 		return false
 	}
+	if exists && item.Version.Era() > known.Version.Era() && c.settings.Supersedes != nil && c.settings.Supersedes(known.Item, item) {
+		return false
+	}
 	changedAt := item.Version
 	if exists && c.settings.Equivalent(known.Item, item) {
 		changedAt = known.changedAt
--- a/repeater/restore_test.go
+++ b/repeater/restore_test.go
@@ -100,3 +100,34 @@
 		t.Errorf("the changes are up to revision %d of era %d, %v", events.Revision.Revision(), events.Revision.Era(), err)
 	}
 }
+
+// Guards against an older configuration for daemons that start (CONFIG): the store has brought back an older item, and lost
+// another one. The copy keeps what is in force, until something as new is written.
+func TestSupersedingItemsStayAfterRestore(t *testing.T) {
+	items := repeater.NewCopy(repeater.CopySettings{Sink: discard{}, Supersedes: func(known, restored storer.Item) bool {
+		return string(known.Value) > string(restored.Value)
+	}})
+	items.Reset([]storer.Item{{Key: "a", Value: []byte("1"), Version: at(t, 1, 5)}}, false)
+	items.Confirm(at(t, 1, 10), clocker.Now())
+	items.HandleEvents([]storer.Event{put("a", "3", at(t, 1, 11)), put("b", "1", at(t, 1, 12))}, false)
+	items.Reset([]storer.Item{{Key: "a", Value: []byte("1"), Version: at(t, 2, 5)}}, true)
+	items.Confirm(at(t, 2, 8), clocker.Now())
+	list := func() []string {
+		events, err := items.Watch(t.Context(), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return keysOf(events)
+	}
+	if got := list(); !slices.Equal(got, []string{"+a3", "+b1"}) {
+		t.Errorf("after the restore a list gives %v", got)
+	}
+	items.HandleEvents([]storer.Event{put("a", "2", at(t, 2, 9))}, false)
+	if got := list(); !slices.Equal(got, []string{"+a3", "+b1"}) {
+		t.Errorf("after an older item was written a list gives %v", got)
+	}
+	items.HandleEvents([]storer.Event{put("a", "3", at(t, 2, 10)), put("a", "2", at(t, 2, 11)), deletion("b", at(t, 2, 12))}, false)
+	if got := list(); !slices.Equal(got, []string{"+a2"}) {
+		t.Errorf("after as new an item was written in this era, a list gives %v", got)
+	}
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -53,9 +53,11 @@
 	Logger    *slog.Logger
 }
 
-// DeclarationTracker tracks the items that operators declare.
+// DeclarationTracker tracks the items that operators declare. Its methods are safe for concurrent use.
 type DeclarationTracker struct {
 	settings DeclarationTrackerSettings
+	// applying makes the calls of apply follow each other.
+	applying sync.Mutex
 	catalog  atomic.Pointer[cataloger.Catalog]
 }
 
@@ -85,6 +87,8 @@
 }
 
 func (d *DeclarationTracker) apply(item storer.Item) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	declared, err := d.settings.Decode(item)
 	if err != nil {
 		d.settings.Logger.Warn("invalid declaration ignored; the previous one stays in force", "key", item.Key, "revision", item.Version, "error", err)
