--- a/storer/era.go
+++ b/storer/era.go
@@ -10,14 +10,17 @@
 // revisions and the ids of leases out again. It is zero if the platform tells none.
 type Era uint64
 
-// revisionBits is the number of bits of a Version that contain the revision. The rest contain the era. Up to era 8191 a
-// Version is below 2^53, so that every JSON decoder reads it exactly.
-const revisionBits = 40
+// revisionBits and eraBits are the numbers of bits of a Version that contain the revision and the era. Together they fit into a
+// signed number. Up to era 8191 a Version is below 2^53, so that every JSON decoder reads it exactly.
+const (
+	revisionBits = 40
+	eraBits      = 23
+)
 
 // MaxRevision is the highest revision that a Version with an era can contain, and MaxEra the highest era.
 const (
 	MaxRevision = 1<<revisionBits - 1
-	MaxEra      = 1<<(64-revisionBits) - 1
+	MaxEra      = 1<<eraBits - 1
 )
 
 // NewVersion returns the version of a write in an era of the store. Versions are ordered by their eras first, so that a write
