assembler: a starting daemon waits for the daemons that it asks, also when its list of them changes

TestDaemonThatStartsAfterRestoreKnowsConfirmedConfiguration failed once in a run of the package with the race detector: the first request got 404. Cause: the daemon's own entry changed the list of peers while the first calls were under way, no further peer was left to ask, and that counted as the end of all calls. Rounds of calls are counted now.

--- a/assembler/catchup.go
+++ b/assembler/catchup.go
@@ -33,17 +33,18 @@
 
 	mu    sync.Mutex
 	asked map[netip.AddrPort]bool
+	// waiting counts the rounds of calls that have not ended.
+	waiting int
 }
 
-// catchUp asks some of the peers that were not asked before, while the daemon starts.
+// catchUpWith asks some of the peers that were not asked before, while the daemon starts.
 func (d *Daemon) catchUpWith(peers []broadcaster.Peer) {
 	if time.Since(d.startTime) > catchUpWindow {
-		d.catchUp.done.Store(true)
-		return
+		peers = nil
 	}
-	chosen := d.catchUp.choose(peers)
+	chosen := d.catchUp.begin(peers)
 	if len(chosen) == 0 {
-		d.catchUp.done.Store(true)
+		d.catchUp.end()
 		return
 	}
 	d.catchUp.tasks.Go(func() {
@@ -52,14 +53,25 @@
 			calls.Go(func() { d.readDeclarations(address) })
 		}
 		calls.Wait()
-		d.catchUp.done.Store(true)
+		d.catchUp.end()
 	})
 }
 
-// choose returns some of the peers that it has not returned before.
-func (c *catchUp) choose(peers []broadcaster.Peer) (chosen []netip.AddrPort) {
+// end ends a round of calls. The daemon has caught up once no round is left.
+func (c *catchUp) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting--
+	if c.waiting == 0 {
+		c.done.Store(true)
+	}
+}
+
+// begin begins a round of calls and returns some of the peers that it has not returned before.
+func (c *catchUp) begin(peers []broadcaster.Peer) (chosen []netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting++
 	for _, i := range rand.Perm(len(peers)) {
 		if address := peers[i].Address; !c.asked[address] && len(chosen) < maxCatchUpPeers {
 			c.asked[address] = true
