configurator, commander, dispatcher: log what a restored store shows

Operators see when the platform's store shows a version below one that it has shown before (a line and Counts.StoreWentBack, once for each such version), which lease and fencing token a commander was granted, and that the intent of a running call is gone. No decision changes.

--- a/commander/lease.go
+++ b/commander/lease.go
@@ -121,6 +121,7 @@
 		return c.settings.PollInterval
 	}
 	c.lease.setGranted(granted, requestedAt)
+	c.logger.Info("commander: lease granted", "data_centre", c.settings.DataCentre, "lease", string(granted.ID), "fencing", granted.FencingToken)
 	return 0
 }
 
--- a/configurator/counts.go
+++ b/configurator/counts.go
@@ -19,6 +19,9 @@
 	// Behind counts the reads that returned an incomplete log: it ended before the current revision
 	// or entries were missing in it.
 	Behind int64
+	// StoreWentBack counts the versions of the platform's store that were lower than one seen before:
+	// the store came back from a copy, or a read was stale.
+	StoreWentBack int64
 	// Snapshots, Trimmed and Recreated count the snapshots that this daemon wrote and the entries
 	// that it deleted and recreated as the maintenance leader.
 	Snapshots int64
@@ -37,6 +40,7 @@
 	settled        atomic.Int64
 	settledLost    atomic.Int64
 	behind         atomic.Int64
+	storeWentBack  atomic.Int64
 	snapshots      atomic.Int64
 	trimmed        atomic.Int64
 	recreated      atomic.Int64
@@ -53,6 +57,7 @@
 		Settled:        c.counters.settled.Load(),
 		SettledLost:    c.counters.settledLost.Load(),
 		Behind:         c.counters.behind.Load(),
+		StoreWentBack:  c.counters.storeWentBack.Load(),
 		Snapshots:      c.counters.snapshots.Load(),
 		Trimmed:        c.counters.trimmed.Load(),
 		Recreated:      c.counters.recreated.Load(),
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -20,6 +20,8 @@
 	behindSince time.Time
 	// version is the version of the platform's store up to which the log is known.
 	version storer.Version
+	// lower is the last version below version that the platform showed.
+	lower storer.Version
 }
 
 // syncLoop keeps the configuration synchronized with the platform until the context ends.
@@ -141,6 +143,7 @@
 		if err != nil {
 			return err
 		}
+		c.observeStoreVersion(events.Revision)
 		if events.Compacted || events.Revision < after {
 			return nil
 		}
@@ -159,6 +162,20 @@
 	return c.platform.version
 }
 
+// observeStoreVersion logs and counts that the platform showed a version of its store that is lower
+// than one that it has shown before, once for each such version.
+func (c *Configurator) observeStoreVersion(version storer.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version >= c.platform.version || version == c.platform.lower {
+		return
+	}
+	c.platform.lower = version
+	c.counters.storeWentBack.Add(1)
+	c.settings.Log.Warn("configurator: the platform's store went back, or a read was stale",
+		"version", uint64(version), "known", uint64(c.platform.version), "revision", uint64(c.history.revision))
+}
+
 // applyEvents applies the entries of put events. It ignores deletions, which come from trimming.
 func (c *Configurator) applyEvents(events storer.Events) error {
 	var items []storer.Item
--- a/configurator/reading.go
+++ b/configurator/reading.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return storer.Page{}, err
 	}
+	r.c.observeStoreVersion(page.Revision)
 	entries, err := r.c.decodeItems(page.Items)
 	if err != nil {
 		return storer.Page{}, err
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -78,6 +78,9 @@
 			if err == nil && superseded(&final, &stored) {
 				return
 			}
+			if isNotFound(err) {
+				d.logger.Warn("dispatcher: the intent of a call is gone from the platform, or the read was stale", "request_id", final.requestID, "version", uint64(version))
+			}
 			version = max(version, item.Version)
 		}
 		if !retry.sleep(ctx) {
