platformemulator: come back from a copy without leases; a watch from an unknown version is compacted

A watch from a version that the restored store does not have waited until the store had passed it; it is answered as compacted now, as the users' pages say.

--- a/platformemulator/calls.go
+++ b/platformemulator/calls.go
@@ -178,7 +178,7 @@
 	}
 	s.expireLeases()
 	events.Revision = s.revision
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		events.Compacted = true
 		return events, watchWait{}, true, nil
 	}
--- a/platformemulator/view.go
+++ b/platformemulator/view.go
@@ -76,9 +76,19 @@
 	}
 }
 
+// WithoutLeases returns a copy of the snapshot that lacks all leases and the keys bound to them, as
+// a backup of a platform that does not keep leases.
+func (b *Snapshot) WithoutLeases() *Snapshot {
+	items := maps.Clone(b.view.items)
+	maps.DeleteFunc(items, func(_ string, item storer.Item) bool { return item.Lease != storer.NoLease })
+	view := storeView{items: items, keys: slices.Sorted(maps.Keys(items)), revision: b.view.revision}
+	return &Snapshot{view: view, leases: map[storer.LeaseID]lease{}, fencing: b.fencing}
+}
+
 // Restore restores an older state including its revision and its last fencing token. Later
-// writes are lost, and their versions and fencing tokens will be assigned again. The watch
-// history is compacted.
+// writes are lost, and their versions, IDs of leases and fencing tokens will be assigned again. The
+// watch history is compacted, and a watch from a version that was not assigned again yet is answered
+// as compacted too.
 func (p *Platform) Restore(snapshot *Snapshot) {
 	s := p.store
 	s.mu.Lock()
