--- /dev/null
+++ b/configurator/restore_test.go
@@ -0,0 +1,60 @@
+package configurator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/configurator"
+)
+
+// repairLimit is how soon changes must be accepted again after a restore: the time until the platform
+// counts as behind, and the time in which an accepted change spreads.
+const repairLimit = configurator.DefaultBehindAfter + propagationLimit
+
+// TestChangesAreAcceptedSoonAfterRestoreWithoutLeases guards against changes that are refused until
+// some daemon has noticed that the maintenance lease is gone as well.
+func TestChangesAreAcceptedSoonAfterRestoreWithoutLeases(t *testing.T) {
+	for i := range 10 {
+		size := 3 + 6*(i%2)
+		testFleet(t, size, func(t *testing.T, f *fleet) {
+			time.Sleep(time.Minute)
+			backup := f.platform.Snapshot().WithoutLeases()
+			for i := range 3 {
+				mustCommit(t, f, f.members[i], i)
+			}
+			time.Sleep(propagationLimit)
+			f.platform.Restore(backup)
+			restored := time.Now()
+			for len(f.accepted) == 3 && time.Since(restored) < 2*time.Minute {
+				f.commit(t.Context(), f.members[size/2], 3, 0)
+				time.Sleep(100 * time.Millisecond)
+			}
+			if took := time.Since(restored); took > repairLimit {
+				t.Errorf("%d daemons: the first change was accepted %v after the restore, want at most %v", size, took, repairLimit)
+			}
+			f.checkFinalState()
+		})
+	}
+}
+
+// TestDaemonThatLacksTheNewestRevisionDoesNotForkTheLog guards against a second entry under the
+// revision of an accepted one, by a daemon that had not received that one when the store lost it.
+func TestDaemonThatLacksTheNewestRevisionDoesNotForkTheLog(t *testing.T) {
+	for _, size := range []int{3, 9} {
+		testFleet(t, size, func(t *testing.T, f *fleet) {
+			backup := f.platform.Snapshot().WithoutLeases()
+			late := f.members[2]
+			late.setPaused(true, f.platform.Faults())
+			mustCommit(t, f, f.members[0], 0)
+			f.platform.Restore(backup)
+			late.setPaused(false, f.platform.Faults())
+			// A caller that gives up at once must not get a second revision 1 either.
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			f.commit(ctx, late, 1, 0)
+			f.commit(t.Context(), late, 2, 0)
+			f.checkFinalState()
+		})
+	}
+}
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -283,3 +283,27 @@
 		t.Fatalf("get after close: got %v", err)
 	}
 }
+
+// TestBrokenWatchIsNotRepeated guards against missed events: the client repeated a broken watch by
+// itself, and the store that answered may have come back with the watch's version given out again.
+func TestBrokenWatchIsNotRepeated(t *testing.T) {
+	var received atomic.Int64
+	inner := platformemulator.New(platformemulator.Settings{}).Handler()
+	breaking := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if received.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		inner.ServeHTTP(w, r)
+	})
+	client := newClient(t, storer.Settings{Addresses: []netip.AddrPort{serve(t, breaking)}, RetryBase: time.Millisecond})
+	var unavailable *storer.UnavailableError
+	if _, err := client.Watch(t.Context(), "", 0, time.Millisecond); !errors.As(err, &unavailable) {
+		t.Errorf("got %v, want an UnavailableError", err)
+	}
+	if received.Load() != 1 {
+		t.Errorf("the watch was sent %d times", received.Load())
+	}
+	if _, err := client.Watch(t.Context(), "", 0, time.Millisecond); err != nil {
+		t.Errorf("next watch: %v", err)
+	}
+}
