commander: a lease whose id a restored store gave out again leads once

Operators could see two daemons of a data centre ordering its engines at the same time, with the same fencing token, for as long as both lived: after the store had come back from a copy it gave the id of the leader's lease to another daemon, and the old leader's renewals succeeded on the other one's lease. The commander compared ids of leases alone.

The leader key now bears a value of its own for each lease. A leader extends its lease only once the platform has shown that value after the renewal, and finds its own key by it after a lost answer; a lease that is somebody else's by now is left alone.

--- a/commander/lease.go
+++ b/commander/lease.go
@@ -1,7 +1,9 @@
 package commander
 
 import (
+	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"sync"
 	"time"
@@ -19,6 +21,9 @@
 	mu           sync.Mutex
 	id           storer.LeaseID
 	fencingToken uint64
+	// keyValue is the value of the leader key under this lease. It identifies the lease, since a
+	// platform that was restored gives IDs of leases out again.
+	keyValue []byte
 	// expiry is when the lease expires unless it is renewed.
 	expiry time.Time
 	// ordersFrom is the time from which orders may be sent: LeaseTTL plus LoadTimeout after the leader
@@ -50,16 +55,25 @@
 	return l.id, !l.ordersFrom.IsZero()
 }
 
-// setGranted records a lease that the platform has granted. The leader key is not yet bound to it.
-func (l *lease) setGranted(granted storer.Lease, requestedAt time.Time) {
+// setGranted records a lease that the platform has granted, and the value with which the leader key
+// is to be bound to it.
+func (l *lease) setGranted(granted storer.Lease, requestedAt time.Time, keyValue []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.id = granted.ID
 	l.fencingToken = granted.FencingToken
+	l.keyValue = keyValue
 	l.expiry = requestedAt.Add(granted.TTL)
 	l.ordersFrom = time.Time{}
 }
 
+// ownsKey reports whether the leader key with the value is bound to this lease.
+func (l *lease) ownsKey(item storer.Item) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return item.Lease == l.id && bytes.Equal(item.Value, l.keyValue)
+}
+
 // setKeyBound records that the leader key is bound to the lease.
 func (l *lease) setKeyBound(ordersFrom time.Time) {
 	l.mu.Lock()
@@ -120,23 +134,28 @@
 	if err != nil {
 		return c.settings.PollInterval
 	}
-	c.lease.setGranted(granted, requestedAt)
+	c.lease.setGranted(granted, requestedAt, []byte(c.settings.Daemon+" "+rand.Text()))
 	c.logger.Info("commander: lease granted", "data_centre", c.settings.DataCentre, "lease", string(granted.ID), "fencing", granted.FencingToken)
 	return 0
 }
 
 // bindLeaderKey creates the leader key, bound to the lease. If the response is lost, the next
-// attempt conflicts and finds the key bound to this lease.
+// attempt conflicts and finds the key with the value of this lease.
 func (c *Commander) bindLeaderKey(ctx context.Context, id storer.LeaseID) time.Duration {
 	key := leaderKey(c.settings.DataCentre)
-	_, err := c.settings.Store.Create(ctx, key, []byte(c.settings.Daemon), id)
+	_, err := c.settings.Store.Create(ctx, key, c.lease.keyValue, id)
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
 		item, readErr := c.settings.Store.Get(ctx, key)
-		if readErr == nil && item.Lease == id {
+		switch {
+		case readErr != nil:
+		case c.lease.ownsKey(item):
 			err = nil
-		}
-		if readErr == nil && item.Lease != id {
+		case item.Lease == id:
+			// The lease with this ID is that of another daemon by now, which must not lose it.
+			c.lease.reset()
+			return c.settings.PollInterval
+		default:
 			c.releaseLease(ctx)
 			return c.settings.PollInterval
 		}
@@ -150,14 +169,18 @@
 	return 0
 }
 
-// renewLease renews the lease. If the platform stays unavailable, the lease expires after its TTL.
+// renewLease renews the lease, and extends it here only if the leader key still has the value of this
+// lease: a platform that was restored may have given its ID to another daemon. If neither can be
+// confirmed, the lease expires after its TTL.
 func (c *Commander) renewLease(ctx context.Context, id storer.LeaseID) time.Duration {
 	requestedAt := time.Now()
 	granted, err := c.settings.Store.Renew(ctx, id)
 	var missing *storer.NotFoundError
 	switch {
-	case err == nil:
+	case err == nil && c.confirmLeaderKey():
 		c.lease.extend(requestedAt.Add(granted.TTL))
+	case err == nil:
+		return c.settings.PlanInterval
 	case errors.As(err, &missing):
 		c.lease.reset()
 		c.logger.Warn("commander: lease lost")
@@ -166,6 +189,18 @@
 	return c.settings.LeaseTTL / 4
 }
 
+// confirmLeaderKey reports whether the platform shows the leader key of this lease.
+func (c *Commander) confirmLeaderKey() bool {
+	ctx, cancel := context.WithTimeout(c.ctx, c.settings.StoreTimeout)
+	defer cancel()
+	item, err := c.settings.Store.Get(ctx, leaderKey(c.settings.DataCentre))
+	if err == nil && c.lease.ownsKey(item) {
+		return true
+	}
+	c.logger.Warn("commander: the platform does not show this daemon as the leader", "holder", string(item.Value), "lease", string(item.Lease), "error", err)
+	return false
+}
+
 // releaseLease revokes the lease, if there is one.
 func (c *Commander) releaseLease(ctx context.Context) {
 	id, _ := c.lease.refresh()
