commander: fencing tokens rise across a restored store

Operators could see engine orders pause for a quarter of a minute for each fencing token that the store had lost (nothing was ordered in the 60 s after a restore that lost 100), and an engine could execute orders of two leaders under one token. The commander took the platform's counter as the only source of tokens, and that counts from its copy after a restore.

A daemon now knows the highest token in use: of its own leases, from the leader key, which names it and which all daemons of the data centre poll, and from an engine's refusal. A refusal with a token more than 10,000 above the order's is not believed, as it would cause requests without end.

Not closed: a leader that started after the last one's end has seen no key, and an engine refuses lower tokens only, so an equal one passes once; orders of the two are still apart by the new leader's wait.

--- a/commander/lease.go
+++ b/commander/lease.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"errors"
 	"sync"
 	"time"
@@ -14,6 +13,13 @@
 // leaderKey returns the platform key that names the leader of a data centre.
 func leaderKey(dataCentre string) string { return "duties/" + dataCentre + "/commander" }
 
+// maxGrantsPerRound bounds the leases that are requested before a pause of PlanInterval.
+const maxGrantsPerRound = 8
+
+// maxLostTokens bounds how far an engine's highest fencing token may lie above the one of an order for
+// the engine to be believed.
+const maxLostTokens = 10_000
+
 // lease is this daemon's leader lease. All times are of the monotonic clock. The expiry counts from
 // before the request to the platform, so that the lease never expires later here than on the
 // platform.
@@ -24,6 +30,8 @@
 	// keyValue is the value of the leader key under this lease. It identifies the lease, since a
 	// platform that was restored gives IDs of leases out again.
 	keyValue []byte
+	// highestToken is the highest fencing token that this daemon knows to be in use in its data centre.
+	highestToken uint64
 	// expiry is when the lease expires unless it is renewed.
 	expiry time.Time
 	// ordersFrom is the time from which orders may be sent: LeaseTTL plus LoadTimeout after the leader
@@ -55,6 +63,20 @@
 	return l.id, !l.ordersFrom.IsZero()
 }
 
+// learnToken records a fencing token that a leader of the data centre uses.
+func (l *lease) learnToken(fencingToken uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.highestToken = max(l.highestToken, fencingToken)
+}
+
+// isUsed reports whether a fencing token is not higher than all that this daemon knows.
+func (l *lease) isUsed(fencingToken uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fencingToken <= l.highestToken
+}
+
 // setGranted records a lease that the platform has granted, and the value with which the leader key
 // is to be bound to it.
 func (l *lease) setGranted(granted storer.Lease, requestedAt time.Time, keyValue []byte) {
@@ -62,6 +84,7 @@
 	defer l.mu.Unlock()
 	l.id = granted.ID
 	l.fencingToken = granted.FencingToken
+	l.highestToken = max(l.highestToken, granted.FencingToken)
 	l.keyValue = keyValue
 	l.expiry = requestedAt.Add(granted.TTL)
 	l.ordersFrom = time.Time{}
@@ -121,22 +144,39 @@
 }
 
 // requestLease requests a lease if the data centre has no leader. It reads the leader key first,
-// since reads are cheaper for the platform than leases. bindLeaderKey then binds the leader key
-// to the lease.
+// since reads are cheaper for the platform than leases, and learns from it the fencing token in use.
+// bindLeaderKey then binds the leader key to the lease.
 func (c *Commander) requestLease(ctx context.Context) time.Duration {
-	_, err := c.settings.Store.Get(ctx, leaderKey(c.settings.DataCentre))
+	item, err := c.settings.Store.Get(ctx, leaderKey(c.settings.DataCentre))
+	if err == nil {
+		c.lease.learnToken(decodeFencingToken(item.Value))
+	}
 	var missing *storer.NotFoundError
 	if !errors.As(err, &missing) {
 		return c.settings.PollInterval
 	}
-	requestedAt := time.Now()
-	granted, err := c.settings.Store.Grant(ctx, c.settings.LeaseTTL)
-	if err != nil {
-		return c.settings.PollInterval
+	return c.acquireLease(ctx)
+}
+
+// acquireLease requests leases until one has a fencing token that is higher than all that are known
+// to be in use: a platform that was restored counts from its copy. Those that are passed over expire
+// without a key.
+func (c *Commander) acquireLease(ctx context.Context) time.Duration {
+	for range maxGrantsPerRound {
+		requestedAt := time.Now()
+		granted, err := c.settings.Store.Grant(ctx, c.settings.LeaseTTL)
+		if err != nil {
+			return c.settings.PollInterval
+		}
+		if c.lease.isUsed(granted.FencingToken) {
+			c.logger.Warn("commander: the platform granted a fencing token that was used before", "data_centre", c.settings.DataCentre, "fencing", granted.FencingToken)
+			continue
+		}
+		c.lease.setGranted(granted, requestedAt, encodeHolder(c.settings.Daemon, granted.FencingToken))
+		c.logger.Info("commander: lease granted", "data_centre", c.settings.DataCentre, "lease", string(granted.ID), "fencing", granted.FencingToken)
+		return 0
 	}
-	c.lease.setGranted(granted, requestedAt, []byte(c.settings.Daemon+" "+rand.Text()))
-	c.logger.Info("commander: lease granted", "data_centre", c.settings.DataCentre, "lease", string(granted.ID), "fencing", granted.FencingToken)
-	return 0
+	return c.settings.PlanInterval
 }
 
 // bindLeaderKey creates the leader key, bound to the lease. If the response is lost, the next
--- a/commander/reconcile.go
+++ b/commander/reconcile.go
@@ -107,6 +107,10 @@
 	switch {
 	case errors.As(err, &stale):
 		c.logger.Warn("commander: engine has seen an order of a later leader", "target", stale.Target, "fencing", stale.Highest)
+		// A higher one is a fault of the engine: no platform counts that far from its copy.
+		if stale.Highest <= stale.Sent+maxLostTokens {
+			c.lease.learnToken(stale.Highest)
+		}
 		c.lease.reset()
 	case err != nil:
 		c.logger.Warn("commander: order failed", "target", step.Desired.Target.Name, "error", err)
--- a/commander/restore_test.go
+++ b/commander/restore_test.go
@@ -163,3 +163,17 @@
 		}
 	})
 }
+
+// TestImpossibleFencingTokenOfEngineCausesNoGrants guards against leases that are requested without end
+// because a faulty engine names a fencing token that the platform will never reach.
+func TestImpossibleFencingTokenOfEngineCausesNoGrants(t *testing.T) {
+	restoreFleet(t, func(t *testing.T, f *fleet) {
+		f.engines[0].highestToken = 1 << 62
+		f.add("first")
+		before := f.platform.Calls()[platformemulator.CallGrant]
+		time.Sleep(2 * time.Minute)
+		if grants := f.platform.Calls()[platformemulator.CallGrant] - before; grants > 24 {
+			t.Errorf("%d leases were requested in two minutes", grants)
+		}
+	})
+}
