configurator: a commit asks the peers before it extends the log

Operators could see two accepted changes under one revision: the store lost an entry that it had acknowledged, and a daemon that had not received that entry yet found the log's end one earlier and created its own. The daemons of the two sides refused each other's entry with the alarm fork, for good. A commit asked the store alone.

After each read of the log a commit now asks the reachable peers for their highest revision, as a starting daemon does, and refuses with BehindError while one of them is ahead; the lost entry is put back or arrives from a peer meanwhile.

Not closed: a daemon that reaches no peer with the entry, and an entry whose answer is still on the way to the daemon that committed it.

--- a/configurator/commit.go
+++ b/configurator/commit.go
@@ -73,12 +73,16 @@
 }
 
 // catchUp reads the log up to its end, so that the next entry extends the log that all daemons have
-// accepted. It fails unless the platform returns the entry of the current revision: writing after
-// missing entries would let a restored platform start a second log.
+// accepted. It fails unless the platform returns the entry of the current revision and no reachable
+// peer has a later one: writing after missing entries would let a restored platform start a second
+// log.
 func (c *Configurator) catchUp(ctx context.Context) error {
 	retry := c.newBackoff()
 	for read := 1; ; read++ {
 		err := c.readLog(ctx)
+		if err == nil {
+			err = c.checkPeers(ctx)
+		}
 		var behind *BehindError
 		var gap *GapError
 		transient := errors.As(err, &behind) || errors.As(err, &gap)
@@ -89,6 +93,17 @@
 	}
 }
 
+// checkPeers returns a BehindError if a reachable peer has a later revision than this daemon, which has
+// just read the log to its end. The peers are asked after that read: an entry that the platform had
+// accepted and lost before it is then in force at the daemon that committed it.
+func (c *Configurator) checkPeers(ctx context.Context) error {
+	peers := c.queryPeers(ctx)
+	if !c.behindPeers(peers) {
+		return nil
+	}
+	return &BehindError{Current: peers.highest}
+}
+
 // prepare rebases the change onto the current configuration, validates the result and encodes the
 // change as the next entry.
 func (c *Configurator) prepare(base registrar.Revision, nonce string, change registrar.Change) (e entry, err error) {
--- a/runner/spread.go
+++ b/runner/spread.go
@@ -153,8 +153,8 @@
 	return nil, state, err
 }
 
-// HighestRevision implements configurator.Peers. It queries at most maxQueriedPeers live peers, or
-// seeds while no peer is known. Peers that are not ready themselves are not counted: otherwise
+// HighestRevision implements configurator.Peers. It queries at most maxQueriedPeers live peers, first
+// those that watch the platform and thus have new entries soonest, or seeds while no peer is known. Peers that are not ready themselves are not counted: otherwise
 // daemons that start together would accept each other's incomplete configuration as current.
 func (s *peerAdapter) HighestRevision(ctx context.Context) (highest registrar.Revision, reachable int, err error) {
 	if s.gossip == nil || !s.gossip.Joined() {
@@ -182,7 +182,7 @@
 func (s *peerAdapter) peersToQuery() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	if s.gossip != nil {
-		for _, member := range s.gossip.Peers() {
+		for _, member := range gossiper.Ranked(s.gossip.Peers(), watchDuty) {
 			addresses = append(addresses, member.Address)
 		}
 	}
