--- a/configurator/restore_test.go
+++ b/configurator/restore_test.go
@@ -58,3 +58,31 @@
 		})
 	}
 }
+
+// TestLeaseGivenOutAgainIsNotRenewed guards against a maintenance leader that keeps the lease of another
+// daemon alive after that one has died, because the restored store gave the ID out again.
+func TestLeaseGivenOutAgainIsNotRenewed(t *testing.T) {
+	testFleet(t, 3, func(t *testing.T, f *fleet) {
+		backup := f.platform.Snapshot().WithoutLeases()
+		time.Sleep(time.Minute)
+		held, err := f.platform.Get(t.Context(), configurator.DefaultMaintenanceKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.platform.Restore(backup)
+		lease, err := f.platform.Grant(t.Context(), configurator.DefaultMaintenanceTTL)
+		if err != nil || lease.ID != held.Lease {
+			t.Fatalf("got lease %v, %v, want %q again", lease, err, held.Lease)
+		}
+		if _, err := f.platform.Create(t.Context(), "stranger", nil, lease.ID); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * configurator.DefaultMaintenanceTTL)
+		if _, err := f.platform.Get(t.Context(), "stranger"); err == nil {
+			t.Error("the key of a daemon that does not renew its lease still exists")
+		}
+		if _, err := f.platform.Get(t.Context(), configurator.DefaultMaintenanceKey); err != nil {
+			t.Errorf("there is no maintenance leader: %v", err)
+		}
+	})
+}
