configurator: lost entries are put back within seconds, also when the leases are gone

Reads that find the platform behind for BehindAfter (2 s) now wake the maintenance loop of the daemons that watch the platform. The lease still decides who writes. A round's own read doesn't start the next round, so the pace is that of the reads (up to 2 s).

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -119,8 +119,10 @@
 	encodeMutex sync.Mutex
 	// commitSlot serializes the commits of this daemon.
 	commitSlot chan struct{}
-	cancel     context.CancelFunc
-	group      conc.WaitGroup
+	// repairDue wakes the maintenance loop once the platform has been behind for BehindAfter.
+	repairDue chan struct{}
+	cancel    context.CancelFunc
+	group     conc.WaitGroup
 }
 
 // New starts a Configurator with an empty configuration. It is ready once it has caught up.
@@ -140,6 +142,7 @@
 		history:    newHistory(settings),
 		changed:    make(chan struct{}),
 		commitSlot: make(chan struct{}, 1),
+		repairDue:  make(chan struct{}, 1),
 		cancel:     cancel,
 	}
 	c.current.Store(&publishedState{snapshot: empty})
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -218,7 +218,8 @@
 
 // recordBehind records that the platform returned an incomplete log: it ends before the current
 // revision (BehindError) or entries are missing in it (GapError). Since a single read may be stale,
-// the alarm is raised only after BehindAfter. recordBehind returns the given error.
+// the alarm is raised, and the maintenance loop woken, only after BehindAfter. recordBehind returns the
+// given error.
 func (c *Configurator) recordBehind(err error) error {
 	c.counters.behind.Add(1)
 	c.mu.Lock()
@@ -228,6 +229,10 @@
 	}
 	if time.Since(c.platform.behindSince) >= c.settings.BehindAfter {
 		c.raiseAlarm(err)
+		select {
+		case c.repairDue <- struct{}{}:
+		default:
+		}
 	}
 	return err
 }
--- a/configurator/leadership.go
+++ b/configurator/leadership.go
@@ -53,7 +53,8 @@
 
 // maintenanceLoop takes part in the election of the maintenance leader until the context ends.
 // Daemons that do not hold the lease check it only about once per TTL, to limit calls to the
-// platform.
+// platform. While the platform is behind they check it at each read that shows so: the lease may be gone
+// together with the entries.
 func (c *Configurator) maintenanceLoop(ctx context.Context) {
 	l := &leadership{}
 	for ctx.Err() == nil {
@@ -61,7 +62,7 @@
 		if !l.holdsLease() {
 			pause = c.settings.MaintenanceTTL
 		}
-		c.sleep(ctx, pause/2+jitter(pause/2))
+		c.waitForMaintenance(ctx, pause/2+jitter(pause/2))
 		if !c.Ready() || !c.settings.WatchRole.Watches() {
 			c.releaseLease(ctx, l)
 			continue
@@ -69,10 +70,28 @@
 		if err := c.maintenanceRound(ctx, l); err != nil && ctx.Err() == nil {
 			c.settings.Log.Debug("configurator: maintenance round failed", "error", err)
 		}
+		// What the round itself has read does not start the next one.
+		select {
+		case <-c.repairDue:
+		default:
+		}
 	}
 	c.releaseLease(ctx, l)
 }
 
+// waitForMaintenance waits for the duration, or until the platform has been behind for BehindAfter and
+// for a random part of RetryBase more, by which the daemons that notice together differ.
+func (c *Configurator) waitForMaintenance(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.repairDue:
+		c.sleep(ctx, jitter(c.settings.RetryBase))
+	case <-ctx.Done():
+	}
+}
+
 // maintenanceRound acquires or renews the lease and, if this daemon holds it, does one round of
 // work.
 func (c *Configurator) maintenanceRound(ctx context.Context, l *leadership) error {
