storer: a broken watch is not repeated by the client

Operators could wait 15 to 30 s (the configurator's interval between two reads of the log) for a change that had been accepted after the store came back from a copy: the client sent a broken watch again by itself, up to four times, with the version that it had before. A store that was away for less answered that one, with versions that it gave out again up to it unreported, and the configurator never learned that it had to read the log.

Watch is sent once. Its error makes the configurator read the log, which compares the newest entry by its hash and takes the store's version from there. Only the configurator watches through this client.

TestBrokenWatchIsNotRepeated was red (two sends, no error).

--- a/storer/client.go
+++ b/storer/client.go
@@ -16,9 +16,9 @@
 
 // Client calls the platform's key-value service over HTTP. It is safe for concurrent use.
 //
-// Reads are retried after a failure, within their context's deadline. A write is sent to the
-// next address only if no connection to the previous one was made; once any byte of it may have
-// been sent, it is never sent again.
+// Reads other than watches are retried after a failure, within their context's deadline. A write is
+// sent to the next address only if no connection to the previous one was made; once any byte of it
+// may have been sent, it is never sent again.
 type Client struct {
 	settings  Settings
 	transport *http.Transport
@@ -174,7 +174,8 @@
 
 // Watch long-polls for events on keys that begin with prefix whose versions are higher than after.
 // The platform responds as soon as there is an event, or without one when wait has elapsed. Watch
-// fails with an UnavailableError.
+// fails with an UnavailableError. It is not retried: a platform that was away may have come back with
+// older versions, which it gives out again, so that the caller has to list the keys first.
 func (c *Client) Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (events Events, err error) {
 	defer Error.WrapP(&err)
 	query := url.Values{
@@ -183,7 +184,7 @@
 		"wait_ms":        {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var wire wireEvents
-	err = c.read(ctx, request{method: http.MethodGet, path: "/v1/watch", query: query, wait: wait}, &wire)
+	err = c.sendOnce(ctx, request{method: http.MethodGet, path: "/v1/watch", query: query, wait: wait}, &wire)
 	if err != nil {
 		return Events{}, err
 	}
