configurator: random histories restore copies without leases too

Every other restore of TestRandomHistoriesWithRestore drops the leases of its copy; the situation must be reached.

--- a/configurator/property_test.go
+++ b/configurator/property_test.go
@@ -119,7 +119,7 @@
 		stepCommit, stepRace, stepBurst, stepBurst, stepLoseAnswer, stepLoseRequest, stepStale, stepOutage,
 		stepRestart, stepKill, stepRolling, stepCompact, stepBackup, stepRestore, stepRestore,
 	}
-	runHistories(t, kinds, "platform behind", "entries recreated", "alarm behind", "snapshot", "restart", "propagation checked", "ready checked")
+	runHistories(t, kinds, "platform behind", "entries recreated", "restore without leases", "alarm behind", "snapshot", "restart", "propagation checked", "ready checked")
 }
 
 // run executes a step.
@@ -170,7 +170,7 @@
 	case stepBackup:
 		f.backup = f.platform.Snapshot()
 	case stepRestore:
-		f.restore()
+		f.restore(s.Count%2 == 0)
 	}
 }
 
@@ -237,13 +237,17 @@
 }
 
 // restore replaces the platform's content by the last backup. It first waits until every accepted
-// change has had time to reach all daemons.
-func (f *fleet) restore() {
+// change has had time to reach all daemons. The backup may lack the leases.
+func (f *fleet) restore(withoutLeases bool) {
 	f.commits.Wait()
 	time.Sleep(propagationLimit)
 	backup := f.backup
 	if backup == nil {
 		backup = platformemulator.New(platformemulator.Settings{}).Snapshot()
 	}
+	if withoutLeases {
+		f.cover("restore without leases", 1)
+		backup = backup.WithoutLeases()
+	}
 	f.platform.Restore(backup)
 }
