tracker: an odd entry in place of a target's own ends its use

By the platform's page an entry that can't be read, or whose state isn't named there, names no replica to use. One that took the place of a sound entry was ignored and the former one stayed in force, for as long as the odd one lay there: a target that had meanwhile left or died was used until somebody deleted the entry. A daemon that started after it didn't know the target, the others did.

Now such a target is kept for MissingEntryGrace (1.8 s), like one whose entry was deleted in an outage of the store, since live targets write their entries again within that time, and the next sound entry ends the wait. So one odd writer over many entries takes no live target away, and what TestTargetsFollowTheirEntries checks stays: the target is still there right after the odd entry. A timer now belongs to its entry, so a target that goes missing twice keeps its whole time and timers don't pile up.

TestOddEntryInPlaceOfTargetEndsItsUse failed before ("a b c" in place of "b c"). TestDeletedOddEntryRemovesTargetAtOnce was green before; it guards this change.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -110,7 +110,7 @@
 }
 
 // MissingEntryGrace is how long a target is kept after its entry was found missing right after an outage of the
-// store. Live targets write their entries again within two seconds.
+// store, or was replaced by one that names no target. Live targets write their entries again within two seconds.
 const MissingEntryGrace = 1800 * time.Millisecond
 
 // TargetTrackerSettings are the parameters of a TargetTracker.
@@ -126,8 +126,10 @@
 type entry struct {
 	target  placer.Target
 	version storer.Version
-	// missing is set if the entry was deleted and the target is kept for MissingEntryGrace.
+	// missing is set if the entry was deleted, or replaced by one that names no target, and the target is kept for
+	// MissingEntryGrace. timer then removes it.
 	missing bool
+	timer   *time.Timer
 	// left is set if the incarnation was known to be leaving in an earlier era of the store.
 	left bool
 }
@@ -143,6 +145,7 @@
 	// era is the highest era of the store that an item was read in.
 	era    storer.Era
 	closed bool
+	// timers let restored entries be used.
 	timers []*time.Timer
 }
 
@@ -200,6 +203,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closed = true
+	for _, known := range t.entries {
+		known.stopTimer()
+	}
 	for _, timer := range t.timers {
 		timer.Stop()
 	}
@@ -214,8 +220,14 @@
 	target, err := t.settings.Decode(item)
 	if err != nil {
 		t.settings.Logger.Warn("invalid entry of a target ignored", "key", item.Key, "revision", item.Version, "error", err)
+		if exists {
+			known.version = item.Version
+			t.entries[item.Key] = known
+			t.keepMissing(item.Key)
+		}
 		return
 	}
+	known.stopTimer()
 	left := exists && t.hasLeft(known, target, item.Version)
 	target.Leaving = target.Leaving || left
 	if !exists || known.target.Leaving != target.Leaving || !known.target.Started.Equal(target.Started) {
@@ -230,17 +242,33 @@
 // the entry may be written again.
 func (t *TargetTracker) remove(key string, afterOutage bool) {
 	known, exists := t.entries[key]
-	if !exists || known.missing {
+	if !exists || known.missing && afterOutage {
 		return
 	}
 	t.settings.Logger.Info("entry of a target deleted", "id", known.target.ID, "after_outage", afterOutage)
 	if !afterOutage {
+		known.stopTimer()
 		t.depart(key)
 		return
 	}
+	t.keepMissing(key)
+}
+
+// keepMissing keeps a target whose entry is gone for MissingEntryGrace.
+func (t *TargetTracker) keepMissing(key string) {
+	known := t.entries[key]
+	if known.missing {
+		return
+	}
 	known.missing = true
+	known.timer = time.AfterFunc(MissingEntryGrace, func() { t.removeMissing(key) })
 	t.entries[key] = known
-	t.timers = append(t.timers, time.AfterFunc(MissingEntryGrace, func() { t.removeMissing(key) }))
+}
+
+func (e entry) stopTimer() {
+	if e.timer != nil {
+		e.timer.Stop()
+	}
 }
 
 // removeMissing removes a target whose entry is still missing after MissingEntryGrace.
