tracker: an odd entry names no peer

The entries of the daemons were taken as soon as address and port could be parsed. One with port 0 or an address of nobody counted among the daemons, so the shares of limits and budgets were too small and messages went nowhere; one whose bandwidth read 1e400, Inf or NaN was the largest or smallest link of all, so that others asked it first.

Such an entry is now ignored, and the former one of the same daemon stays, since the daemon lives as long as it is heard.

--- a/tracker/peers.go
+++ b/tracker/peers.go
@@ -1,7 +1,9 @@
 package tracker
 
 import (
+	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -78,15 +80,33 @@
 }
 
 func (p *PeerTracker) put(item storer.Item) {
-	text, rest, _ := strings.Cut(string(item.Value), " ")
-	dataCentre, link, _ := strings.Cut(rest, " ")
-	megabits, _ := strconv.ParseFloat(link, 64) // An entry without it is that of an older daemon.
-	address, err := netip.ParseAddrPort(text)
+	peer, err := decodePeer(item)
 	if err != nil {
 		p.settings.Logger.Warn("invalid entry of a daemon ignored", "key", item.Key, "error", err)
 		return
 	}
-	p.known[item.Key] = Peer{Key: item.Key, Address: address, DataCentre: dataCentre, LinkMegabits: megabits}
+	p.known[item.Key] = peer
+}
+
+// decodePeer decodes the entry that a daemon wrote about itself. An entry without the bandwidth is that of an older daemon.
+func decodePeer(item storer.Item) (peer Peer, err error) {
+	text, rest, _ := strings.Cut(string(item.Value), " ")
+	dataCentre, link, hasLink := strings.Cut(rest, " ")
+	peer = Peer{Key: item.Key, DataCentre: dataCentre}
+	if peer.Address, err = netip.ParseAddrPort(text); err != nil {
+		return Peer{}, err
+	}
+	if ip := peer.Address.Addr().Unmap(); peer.Address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() {
+		return Peer{}, fmt.Errorf("address %s", peer.Address)
+	}
+	if !hasLink {
+		return peer, nil
+	}
+	peer.LinkMegabits, err = strconv.ParseFloat(link, 64)
+	if isBandwidth := peer.LinkMegabits >= 0 && !math.IsInf(peer.LinkMegabits, 0); err != nil || !isBandwidth {
+		return Peer{}, fmt.Errorf("bandwidth %q", link)
+	}
+	return peer, nil
 }
 
 func (p *PeerTracker) publish() {
