storer: one odd entry of the host list no longer spoils the whole list

The list of hosts of `rilld serve` was decoded as a whole, and one address that can't be parsed, or a name or state of another type, made the call fail. The daemon then learned of no leaving host for as long as the entry lay there, and counted the platform as unreachable in some cases; targets' own word and refused connections remained. An unknown state counted as live.

Each entry is decoded on its own; what names no host, address or state is left out.

--- a/storer/client.go
+++ b/storer/client.go
@@ -191,8 +191,8 @@
 	return decodeEvents(wire), nil
 }
 
-// Hosts returns the platform's host list, which may be out of date. It fails with an
-// UnavailableError.
+// Hosts returns the platform's host list, which may be out of date, without entries that cannot
+// be read. It fails with an UnavailableError.
 func (c *Client) Hosts(ctx context.Context) (hosts []Host, err error) {
 	defer Error.WrapP(&err)
 	var wire wireHosts
@@ -200,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return decodeHosts(wire)
+	return decodeHosts(wire), nil
 }
 
 func kvPath(key string) string {
--- a/storer/wire.go
+++ b/storer/wire.go
@@ -1,7 +1,7 @@
 package storer
 
 import (
-	"fmt"
+	"encoding/json"
 	"net/netip"
 	"time"
 )
@@ -52,7 +52,7 @@
 }
 
 type wireHosts struct {
-	Hosts []wireHost `json:"hosts"`
+	Hosts []json.RawMessage `json:"hosts"`
 }
 
 func decodeItem(wire wireItem) Item {
@@ -94,22 +94,25 @@
 	return events
 }
 
-func decodeHosts(wire wireHosts) (hosts []Host, err error) {
-	for _, host := range wire.Hosts {
-		address, err := netip.ParseAddr(host.Address)
-		if err != nil {
-			return nil, fmt.Errorf("host %q: %w", host.Name, err)
+// decodeHosts decodes the host list. It leaves out entries that name no host.
+func decodeHosts(wire wireHosts) (hosts []Host) {
+	for _, text := range wire.Hosts {
+		if host, ok := decodeHost(text); ok {
+			hosts = append(hosts, host)
 		}
-		state := HostLive
-		if host.State == "leaving" {
-			state = HostLeaving
-		}
-		hosts = append(hosts, Host{
-			Name:       host.Name,
-			Address:    address,
-			DataCentre: host.DataCentre,
-			State:      state,
-		})
 	}
-	return hosts, nil
+	return hosts
+}
+
+func decodeHost(text []byte) (host Host, ok bool) {
+	var wire wireHost
+	if json.Unmarshal(text, &wire) != nil {
+		return Host{}, false
+	}
+	states := map[string]HostState{"live": HostLive, "leaving": HostLeaving}
+	address, err := netip.ParseAddr(wire.Address)
+	if err != nil || address.IsUnspecified() || states[wire.State] == 0 {
+		return Host{}, false
+	}
+	return Host{Name: wire.Name, Address: address, DataCentre: wire.DataCentre, State: states[wire.State]}, true
 }
