forwarder: one odd cache event no longer stops the daemon from following an engine

In `rilld serve`, as in `rilld front`, the events of a cache were decoded as a whole: one with a number out of range or a field of another type made each poll from the same position fail. Callers saw nothing but prompts that were read again.

Each event is decoded on its own, and one that can't be read, or that has a negative count of tokens, is skipped as one with an odd block was already.

--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -197,9 +197,9 @@
 func (c CacheEvents) Count() int { return len(c.Events) }
 
 type wireCacheEvents struct {
-	Incarnation string           `json:"incarnation"`
-	Events      []wireCacheEvent `json:"events"`
-	Next        uint64           `json:"next"`
+	Incarnation string            `json:"incarnation"`
+	Events      []json.RawMessage `json:"events"`
+	Next        uint64            `json:"next"`
 }
 
 type wireCacheEvent struct {
@@ -212,8 +212,8 @@
 }
 
 // CacheEvents requests the events after the sequence number. If there are none yet, the engine
-// delays its response until there are, for at most the given time. Events whose block can't be
-// parsed are skipped.
+// delays its response until there are, for at most the given time. Events that can't be parsed are
+// skipped, so they count as lost.
 func (c *Client) CacheEvents(ctx context.Context, target netip.AddrPort, after uint64, wait time.Duration) (events CacheEvents, err error) {
 	defer Error.WrapP(&err)
 	query := encodeQuery("after", strconv.FormatUint(after, 10), "wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
@@ -224,7 +224,11 @@
 		return CacheEvents{}, err
 	}
 	events = CacheEvents{Incarnation: wire.Incarnation, Next: wire.Next}
-	for _, event := range wire.Events {
+	for _, text := range wire.Events {
+		var event wireCacheEvent
+		if json.Unmarshal(text, &event) != nil || event.Tokens < 0 {
+			continue
+		}
 		block, err := hasher.ParseBlock(event.Block)
 		if err != nil {
 			continue
