forwarder: an engine's refusal counts only with the id of the run, or on a connection of its own

Other operators saw an earlier refusal written once more on a kept connection: callers were told "not run" of requests that ran (REFUSED), or these ran at a second target (TWICE). In `rilld serve` a 400, 409, 429 or 503 of an engine counted as "not run" whatever run it named, and net/http takes what comes next on a connection as the answer to the open request. A copy that comes after the next request's head was believed; one that comes before it makes net/http close the connection.

A refusal that names another run is now a mismatch, and one that names none counts on a connection that was not used before; otherwise the run may have begun, and the connection is closed. The protocol's page says that engines repeat the id on refusals too, and the emulator now does. An engine that doesn't still works; its refusals on kept connections count as "may have run".

--- a/engineemulator/chat.go
+++ b/engineemulator/chat.go
@@ -55,6 +55,7 @@
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	inc := e.beginCall(r)
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID)) // Refusals carry it too.
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.settings.MaxBodyBytes))
 	if err != nil {
 		writeRefusal(w, &refusal{http.StatusBadRequest, "unreadable_body", "the body could not be read"})
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -66,6 +66,8 @@
 	conn          *trackedConn
 	writtenBefore uint64
 	connAssigned  bool
+	// connReused is set if the connection was used before, so that a late copy of an earlier response may arrive on it.
+	connReused bool
 }
 
 // newAttempt prepares a request. It clears GetBody, without which the transport can't replay the
@@ -93,7 +95,7 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.connAssigned = true
+	a.connAssigned, a.connReused = true, info.Reused
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		a.conn = conn
 		a.writtenBefore = conn.bytesWritten()
@@ -161,6 +163,33 @@
 	return &BrokenError{Target: a.target, Cause: cause, Sent: true, ConnectionLost: connectionLost}
 }
 
+// identityError returns nil if a response belongs to the request: if it carries the request's ID or, on a connection that was
+// not used before, none.
+func (a *attempt) identityError(response *http.Response, id string) error {
+	got := response.Header.Get(headerRequestID)
+	if got != "" && got != id {
+		return a.mismatchedResponseError(id, got)
+	}
+	a.mu.Lock()
+	reused := a.connReused
+	a.mu.Unlock()
+	if got != "" || !reused {
+		return nil
+	}
+	a.closeConn()
+	a.client.counters.broken.Add(1)
+	return &BrokenError{Target: a.target, Cause: &MalformedError{Part: "response without an ID on a kept connection"}, Sent: true}
+}
+
+// closeConn closes the connection, on which the response to the request may still arrive.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close() // Whatever it returns, the connection is not used again.
+	}
+}
+
 // refusedError returns the error for a call that the target rejected without running it.
 func (a *attempt) refusedError(status int, code string) error {
 	a.client.counters.refused.Add(1)
@@ -169,6 +198,7 @@
 
 // mismatchedResponseError returns the error for a response that carries the ID of another request.
 func (a *attempt) mismatchedResponseError(wanted, got string) error {
+	a.closeConn()
 	a.client.counters.mismatched.Add(1)
 	return &MismatchedResponseError{Target: a.target, Wanted: wanted, Got: got}
 }
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -186,6 +186,12 @@
 // errorForStatus converts a response with another status than 200 to an error.
 func (a *attempt) errorForStatus(response *http.Response, runID string) error {
 	code := readErrorCode(response)
+	// An answer to a request for a stream names no run, but if it is a late copy, nothing worse follows than a continuation.
+	if a.request.Method == http.MethodPost || response.StatusCode != http.StatusNotFound {
+		if err := a.identityError(response, runID); err != nil {
+			return err
+		}
+	}
 	switch response.StatusCode {
 	case http.StatusNotFound:
 		return &NotFoundError{Target: a.target, Name: runID}
