forwarder: calls share a connection only where the service names them in its answers

A service may leave the id out of its answers. On a pooled connection, which idempotent calls use, a late copy of an earlier answer was then taken for the answer to the next call: callers were told "not run" of a call that ran (REFUSED), or got the answer to another call (MIXED).

A connection is now shared only with a target whose last answer carried the id of its call. Others get a connection of their own for each call, which costs them one opening a call; and an answer without an id on a shared connection counts as "may have run" and ends that connection.

TestLateCopyOfAnswerIsNotTakenForCall failed before in 4 of 8 cases, all those in which the copy has no id. TestServiceThatNamesRequestsKeepsItsConnections guards against opening a connection for each call where that isn't needed.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,6 +96,8 @@
 	settings        Settings
 	sharedTransport http.RoundTripper
 	counters        counters
+	// namesRequests contains the addresses of services whose last answer carried the ID of its request.
+	namesRequests sync.Map
 }
 
 type counters struct {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -34,7 +34,9 @@
 
 // CallService sends one call to a service and reads the whole response. All waits end with the
 // context. A call that is not idempotent uses a new connection, since net/http retries requests
-// that carry an Idempotency-Key header when a pooled connection fails.
+// that carry an Idempotency-Key header when a pooled connection fails. So does a call to a target
+// whose last answer named no request: on a pooled connection, a late copy of an answer could not be
+// told from the answer to the call.
 func (c *Client) CallService(ctx context.Context, target netip.AddrPort, call ServiceCall) (answer ServiceAnswer, err error) {
 	defer Error.WrapP(&err)
 	path := call.Path
@@ -47,7 +49,8 @@
 	}
 	defer a.cancel(nil)
 	setServiceHeaders(a.request.Header, call)
-	response, err := a.do(c.transportFor(call.Idempotent), c.settings.HeaderTimeout)
+	_, namesRequests := c.namesRequests.Load(target)
+	response, err := a.do(c.transportFor(call.Idempotent && namesRequests), c.settings.HeaderTimeout)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
@@ -79,8 +82,13 @@
 // match. A 503 response is a refusal only if its headerNotRun is "true", since a service may also
 // respond with 503 after it ran the call.
 func (a *attempt) serviceAnswer(response *http.Response, requestID string) (answer ServiceAnswer, err error) {
-	if got := response.Header.Get(headerRequestID); got != "" && got != requestID {
-		return ServiceAnswer{}, a.mismatchedResponseError(requestID, got)
+	if requestID != "" && response.Header.Get(headerRequestID) == requestID {
+		a.client.namesRequests.Store(a.target, struct{}{})
+	} else {
+		a.client.namesRequests.Delete(a.target)
+	}
+	if err := a.identityError(response, requestID); err != nil {
+		return ServiceAnswer{}, err
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerNotRun) == "true" {
 		return ServiceAnswer{}, a.refusedError(response.StatusCode, "not_run")
