forwarder: look-ups, orders and cancellations use a connection of their own

Their answers carry no id, and they shared connections with polls. A late copy of a 404 made a look-up say that a call had not run, which the service had run: the caller was told "not run" (REFUSED). Likewise a copy made an order count as done, and a cancellation as carried out, after which another engine continues the run.

Such calls are rare, so a connection for each costs little.

--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -25,7 +25,9 @@
 	// bodyLimit raises the limit on the response body above MaxBodyBytes; a lower value has no
 	// effect.
 	bodyLimit int64
-	// singleUse makes the call on a new connection that is closed afterwards.
+	// singleUse makes the call on a new connection that is closed afterwards. Calls need it whose
+	// answers tell what ran, since they carry no ID: on a pooled connection, a late copy of an
+	// earlier answer could be taken for theirs.
 	singleUse bool
 }
 
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -125,7 +125,7 @@
 // succeeds if the target does not have the run.
 func (c *Client) Cancel(ctx context.Context, target netip.AddrPort, runID string) (err error) {
 	defer Error.WrapP(&err)
-	err = c.control(ctx, target, controlCall{method: http.MethodDelete, path: "/v1/streams/" + url.PathEscape(runID)}, nil)
+	err = c.control(ctx, target, controlCall{method: http.MethodDelete, path: "/v1/streams/" + url.PathEscape(runID), singleUse: true}, nil)
 	if isStatus(err, http.StatusNotFound) {
 		return nil
 	}
--- a/forwarder/order.go
+++ b/forwarder/order.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return "", &NotSentError{Target: target, Cause: err}
 	}
-	call := controlCall{method: http.MethodPost, path: "/v1/orders", body: body}
+	call := controlCall{method: http.MethodPost, path: "/v1/orders", body: body, singleUse: true}
 	var wire wireOrderState
 	err = c.control(ctx, target, call, func(body []byte) error { return json.Unmarshal(body, &wire) })
 	if err != nil {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -140,7 +140,7 @@
 func (c *Client) Lookup(ctx context.Context, target netip.AddrPort, path, account, key string) (answer LookupAnswer, err error) {
 	defer Error.WrapP(&err)
 	query := encodeQuery("key", key, "account", account)
-	call := controlCall{method: http.MethodGet, path: path + query}
+	call := controlCall{method: http.MethodGet, path: path + query, singleUse: true}
 	var wire wireLookup
 	err = c.control(ctx, target, call, func(body []byte) error { return json.Unmarshal(body, &wire) })
 	switch {
