relayer: a status that promises "not run" isn't passed on without that statement

For callers 408, 421, 429 and 503 promise that a request did not run and never will. A target says so with X-Not-Executed alone.

Such a request may have run: it is sent again where its route allows that, within the budget, and otherwise ends with 502. The connection isn't used again, since the answer may still come on it.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -42,12 +43,25 @@
 	}
 	r.runs++
 	r.status = response.Status
+	if promisesNotRun(response.Status) {
+		r.cause = fmt.Errorf("status %d without a statement that the request was not run", response.Status)
+		return unexplained, choice
+	}
 	if r.route.CallKind == cataloger.CallStream && response.Status == http.StatusOK {
 		return r.forwardStream(ctx, choice, response), choice
 	}
 	return r.forwardPlain(ctx, choice, response), choice
 }
 
+// promisesNotRun reports whether callers take a status as a promise that the request was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // newAttempt returns the Attempt from which the codec encodes the request to the chosen target.
 func (r *relayedRequest) newAttempt(choice placer.Choice) Attempt {
 	attempt := Attempt{
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -85,6 +85,8 @@
 	broken
 	// failedAtTarget: the target ran the request and answered that it failed.
 	failedAtTarget
+	// unexplained: the status of the answer promises callers that the request was not run, but the target did not say so.
+	unexplained
 	// startTimeout: the start timer cancelled the attempt, since the target's weights had been replaced for too long.
 	startTimeout
 	// abandoned: the caller closed the connection or the deadline passed.
@@ -93,7 +95,7 @@
 
 // String returns the name of the result in traces, where it is the value of the attribute "verdict".
 func (r attemptResult) String() string {
-	return [...]string{"answered", "unsent", "disowned", "broken", "failed_there", "taken_back", "abandoned"}[r]
+	return [...]string{"answered", "unsent", "disowned", "broken", "failed_there", "unexplained", "taken_back", "abandoned"}[r]
 }
 
 // relay sends the request to one target after another until it is answered or refused.
