relayer: only new events of the same stream follow once a part of it was forwarded

Once the events of a first target had been forwarded and its stream broke, whatever the next target answered was passed on as an answer of its own: the body of a 500 or 404, a page with status 200, an event without an id. An empty stream, or one with nothing but events that the caller had, ended the stream as complete. And a long answer that is no stream, or a stream without ids, was asked for anew after a part of it had been forwarded, and appended to that part.

An answer to a resumption now has to be a 200 of the same media type and encoding, with a seal if the first one had one, and only events with later ids are forwarded. Anything else ends that attempt: the stream goes on at the next target after the last event, within attempts and budget, or the connection is aborted. Without a single new event a stream doesn't count as complete, since a target that lost the request looks alike; a stream whose first target broke after its last event and before its end therefore ends broken. Nothing is sent again after a forwarded part that has no id to go on from.

The first target's stream is forwarded as it comes: the check for seen events ran on it too, and dropped new events before a repeated id of the same read.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -42,11 +42,16 @@
 		return rejected, choice
 	}
 	r.runs++
-	r.status = response.Status
+	if !r.headWritten {
+		r.status, r.sealed = response.Status, answer.Sealed
+	}
 	if promisesNotRun(response.Status) {
 		r.cause = fmt.Errorf("status %d without a statement that the request was not run", response.Status)
 		return unexplained, choice
 	}
+	if r.headWritten {
+		return r.resumeStream(ctx, choice, response, answer), choice
+	}
 	if r.route.CallKind == cataloger.CallStream && response.Status == http.StatusOK {
 		return r.forwardStream(ctx, choice, response), choice
 	}
@@ -212,7 +217,7 @@
 
 // writeHead forwards the status and the headers of an answer, except the hop-by-hop headers.
 func (r *relayedRequest) writeHead(response *connector.Response) {
-	r.headWritten = true
+	r.headWritten, r.head = true, response.Header
 	header := r.writer.Header()
 	for name, values := range response.Header {
 		if !connector.IsHopByHop(name) {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -63,6 +63,10 @@
 	notRun bool
 	// truncated ends the body with io.ErrUnexpectedEOF.
 	truncated bool
+	// contentType and contentEncoding are the headers of the answer, if they are not empty.
+	contentType, contentEncoding string
+	// sealed makes the answer bear the mark of a target.
+	sealed bool
 	// undelimited makes the answer end with its connection, without a length or chunks.
 	undelimited bool
 	// before is called before the answer.
@@ -185,7 +189,7 @@
 }
 
 func (h *harness) Answer(_ int, header http.Header) relayer.Answer {
-	return relayer.Answer{NotRun: header.Get("Not-Run") != "", Requests: -1, RateLimit: -1}
+	return relayer.Answer{NotRun: header.Get("Not-Run") != "", Sealed: header.Get("Seal") != "", Requests: -1, RateLimit: -1}
 }
 
 // truncatingReader replaces io.EOF by io.ErrUnexpectedEOF.
@@ -219,6 +223,14 @@
 	if next.notRun {
 		header.Set("Not-Run", "1")
 	}
+	if next.sealed {
+		header.Set("Seal", "s")
+	}
+	for name, value := range map[string]string{"Content-Type": next.contentType, "Content-Encoding": next.contentEncoding} {
+		if value != "" {
+			header.Set(name, value)
+		}
+	}
 	body := io.Reader(strings.NewReader(next.body))
 	if next.truncated {
 		body = truncatingReader{body}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -82,6 +82,8 @@
 type Answer struct {
 	// NotRun is set if the target did not run the request.
 	NotRun bool
+	// Sealed is set if the answer bears the mark of a target that ran the request.
+	Sealed bool
 	// OtherTarget is set if another target than the chosen one answered at the address.
 	OtherTarget bool
 	// OtherWeights is set if the target serves another version of the weights than expected.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -104,6 +104,14 @@
 	}
 }
 
+// Guards against events that are lost from the answer of the first target because a later one repeats an id (ORDER).
+func TestFirstStreamIsForwardedUnchanged(t *testing.T) {
+	const body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\n: comment\n\nid: 3\ndata: c"
+	if seen := relayOnce(t, newHarness(targetBehaviour{status: 200, body: body}), "/resume/"); seen.aborted || seen.body != body {
+		t.Errorf("%+v", seen)
+	}
+}
+
 func TestIncompleteStreamAbortsConnection(t *testing.T) {
 	h := newHarness(targetBehaviour{status: 200, body: "id: 1\ndata: a\n\nid: 2", truncated: true})
 	if seen := relayOnce(t, h, "/stream/"); !seen.aborted || seen.body != "id: 1\ndata: a\n\n" {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -46,8 +46,11 @@
 	triedTargets []string
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
-	// headWritten is set once the status and the headers of an answer were forwarded.
+	// headWritten is set once the status and the headers of an answer were forwarded. head are the headers of that answer, and
+	// sealed is set if it bears the mark of a target.
 	headWritten bool
+	head        http.Header
+	sealed      bool
 	// abort makes Relay panic with http.ErrAbortHandler.
 	abort bool
 	// causes are what may crash targets: the request as a whole, and then the shared parts of its prompt. crashing is the
@@ -87,6 +90,8 @@
 	failedAtTarget
 	// unexplained: the status of the answer promises callers that the request was not run, but the target did not say so.
 	unexplained
+	// notResumed: the answer to the resumption of a stream is not the rest of that stream.
+	notResumed
 	// startTimeout: the start timer cancelled the attempt, since the target's weights had been replaced for too long.
 	startTimeout
 	// abandoned: the caller closed the connection or the deadline passed.
@@ -95,7 +100,7 @@
 
 // String returns the name of the result in traces, where it is the value of the attribute "verdict".
 func (r attemptResult) String() string {
-	return [...]string{"answered", "unsent", "disowned", "broken", "failed_there", "unexplained", "taken_back", "abandoned"}[r]
+	return [...]string{"answered", "unsent", "disowned", "broken", "failed_there", "unexplained", "not_resumed", "taken_back", "abandoned"}[r]
 }
 
 // relay sends the request to one target after another until it is answered or refused.
@@ -253,7 +258,7 @@
 	if result == broken {
 		r.recordBroken(choice.Target)
 	}
-	mayRetry := r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts
+	mayRetry := r.route.Retryable() && r.mayGoOn() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts
 	if mayRetry && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
 		return nil
 	}
@@ -263,6 +268,12 @@
 	return failed(http.StatusBadGateway, ReasonBroken)
 }
 
+// mayGoOn reports whether another attempt can go on where the last one ended. Once a part of an answer was forwarded, that
+// needs a stream with an event to resume after.
+func (r *relayedRequest) mayGoOn() bool {
+	return !r.headWritten || r.route.CallKind == cataloger.CallStream && r.lastEventID != ""
+}
+
 // finish ends the request with a refusal, or aborts the connection if the head of an answer was already
 // written. If the request may have run, a refusal with NotRun set is replaced by a failure with the same reason.
 func (r *relayedRequest) finish(refusal *Refusal) {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"iter"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -26,7 +26,7 @@
 // errBrokenOff is the cause if a stream that states no length ends before its first event or inside an event.
 var errBrokenOff = fmt.Errorf("stream ended inside an event: %w", io.ErrUnexpectedEOF)
 
-// forwardStream forwards events as they arrive. It forwards only complete events, so that a broken stream can
+// forwardStream forwards the events of the first target that sends any, as they arrive. It forwards only complete events, so that a broken stream can
 // be resumed at another target after the last forwarded one.
 func (r *relayedRequest) forwardStream(ctx context.Context, choice placer.Choice, response *connector.Response) attemptResult {
 	flusher := http.NewResponseController(r.writer)
@@ -75,9 +75,10 @@
 		r.writeHead(response)
 		r.timeToFirstEvent = time.Since(r.call.ArrivedAt)
 	}
-	events = r.dropSeenEvents(events)
-	if len(events) == 0 {
-		return nil
+	for event := range splitEvents(events) {
+		if id, hasID := eventID(event); hasID {
+			r.lastEventID = id
+		}
 	}
 	if _, err := r.writer.Write(events); err != nil {
 		return err
@@ -85,25 +86,20 @@
 	return flusher.Flush()
 }
 
-// dropSeenEvents returns the events after the last one whose id is not later than lastEventID, since a target may
-// repeat forwarded events when it resumes a stream. It updates lastEventID.
-func (r *relayedRequest) dropSeenEvents(events []byte) []byte {
-	from := 0
-	for start := 0; start < len(events); {
-		end := len(events)
-		if next := bytes.Index(events[start:], eventEnd); next >= 0 {
-			end = start + next + len(eventEnd)
-		}
-		id, hasID := eventID(events[start:end])
-		switch {
-		case hasID && r.lastEventID != "" && !isLater(id, r.lastEventID):
-			from = end
-		case hasID:
-			r.lastEventID = id
+// splitEvents yields the events; the last one need not be complete.
+func splitEvents(events []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(events) > 0 {
+			end := len(events)
+			if next := bytes.Index(events, eventEnd); next >= 0 {
+				end = next + len(eventEnd)
+			}
+			if !yield(events[:end]) {
+				return
+			}
+			events = events[end:]
 		}
-		start = end
 	}
-	return events[from:]
 }
 
 // eventID returns the id of an event and whether it has one.
@@ -115,10 +111,3 @@
 	}
 	return "", false
 }
-
-// isLater reports whether an event id is greater than another one, or one of them is not a number.
-func isLater(id, other string) bool {
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(other, 10, 64)
-	return errA != nil || errB != nil || a > b
-}
