broadcaster: numbers of a message can't overflow

Counts, ages and versions of a datagram were converted without a bound: beyond 63 bits a load, a held part or a version became negative, and an age put what happened into the future. A target with a negative load looks idle.

TestHugeNumbersInMessageDoNotOverflow failed before.

--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -173,10 +173,80 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0x0a, 0x01, 'x', 0x12, 0x02, 0x08, 0x01})
+	for field := range byte(13) {
+		f.Add(hugeNumbers(field + 1))
+	}
 	f.Fuzz(func(t *testing.T, message []byte) {
 		decoded, err := broadcaster.Decode(message)
-		if err == nil && decoded.Sender == "" {
+		if err != nil {
+			return
+		}
+		if decoded.Sender == "" {
 			t.Error("a message without a sender was accepted")
 		}
+		checkNumbers(t, decoded.Update)
 	})
 }
+
+// hugeNumbers is a message whose field with the number has a submessage in which all numbers are the largest.
+func hugeNumbers(field byte) []byte {
+	var submessage []byte
+	for number := range byte(14) {
+		submessage = append(submessage, (number+1)<<3, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01)
+	}
+	return append([]byte{0x0a, 0x01, 'x', field<<3 | 2, byte(len(submessage))&0x7f | 0x80, byte(len(submessage) >> 7)}, submessage...)
+}
+
+// checkNumbers checks that no number of an update is negative, or so large that the sum of some is.
+func checkNumbers(t *testing.T, update placer.PeerUpdate) {
+	t.Helper()
+	const most = 1 << 40
+	for _, load := range update.Loads {
+		for _, count := range append(load.PendingPrefill[:], load.Requests, load.KVCacheTokens) {
+			if count < 0 || count > most {
+				t.Errorf("load %+v", load)
+			}
+		}
+	}
+	for _, holding := range update.Holdings {
+		if holding.Tokens < 0 || holding.Tokens > most {
+			t.Errorf("holding %+v", holding)
+		}
+	}
+	var ages []time.Duration
+	for _, announced := range update.AnnouncedVersions {
+		ages = append(ages, announced.Age)
+		if announced.Version < 0 {
+			t.Errorf("version %+v", announced)
+		}
+	}
+	for _, strike := range update.Strikes {
+		ages = append(ages, strike.Age)
+	}
+	for _, completion := range update.Completions {
+		ages = append(ages, completion.Age)
+	}
+	for _, limit := range update.RateLimits {
+		ages = append(ages, limit.Age)
+	}
+	for _, upgraded := range update.UpgradePlan.Upgraded {
+		if upgraded.Version < 0 {
+			t.Errorf("version %+v", upgraded)
+		}
+	}
+	for _, age := range ages {
+		if age < 0 {
+			t.Errorf("age %s", age)
+		}
+	}
+}
+
+// Guards against numbers of a malformed message that overflow: a negative load makes a target look idle, and a negative age
+// puts what happened into the future.
+func TestHugeNumbersInMessageDoNotOverflow(t *testing.T) {
+	for field := range byte(13) {
+		if decoded, err := broadcaster.Decode(hugeNumbers(field + 1)); err == nil {
+			checkNumbers(t, decoded.Update)
+		}
+	}
+}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -127,9 +127,21 @@
 
 // age returns the age of the submessage.
 func (s submessage) age() time.Duration {
-	return time.Duration(s.numbers[fieldExtra]) * time.Millisecond
+	return time.Duration(min(s.numbers[fieldExtra], maxAgeMS)) * time.Millisecond
 }
 
+const (
+	// maxCount and maxAgeMS bound counts and ages in messages, so that sums of some do not overflow.
+	maxCount = 1 << 40
+	maxAgeMS = 1 << 40
+)
+
+// count returns a number of the submessage that counts something.
+func (s submessage) count(field protowire.Number) int { return int(min(s.numbers[field], maxCount)) }
+
+// version returns the version in the submessage.
+func (s submessage) version() int64 { return int64(min(s.numbers[fieldVersion], math.MaxInt64)) }
+
 // limitUnit is the number that stands for one request a second in messages, and maxLimit the largest limit in them.
 const (
 	limitUnit = 1000
@@ -338,16 +350,16 @@
 
 func (s submessage) load() placer.Load {
 	load := placer.Load{
-		Target: placer.TargetHash(s.numbers[fieldTarget]), Requests: int(s.numbers[fieldRequestCount]), KVCacheTokens: int(s.numbers[fieldKVCacheTokens]),
+		Target: placer.TargetHash(s.numbers[fieldTarget]), Requests: s.count(fieldRequestCount), KVCacheTokens: s.count(fieldKVCacheTokens),
 	}
 	for urgency := range load.PendingPrefill {
-		load.PendingPrefill[urgency] = int(s.numbers[int(fieldPendingPrefill)+urgency])
+		load.PendingPrefill[urgency] = s.count(fieldPendingPrefill + protowire.Number(urgency))
 	}
 	return load
 }
 
 func (s submessage) holding() placer.Holding {
-	return placer.Holding{Target: placer.TargetHash(s.numbers[fieldTarget]), Key: s.numbers[fieldKey], Tokens: int(s.numbers[fieldTokens])}
+	return placer.Holding{Target: placer.TargetHash(s.numbers[fieldTarget]), Key: s.numbers[fieldKey], Tokens: s.count(fieldTokens)}
 }
 
 func (s submessage) strike() attributor.Strike {
@@ -357,9 +369,9 @@
 }
 
 func (s submessage) upgradedTarget() placer.UpgradedTarget {
-	return placer.UpgradedTarget{Target: placer.TargetHash(s.numbers[fieldExtra]), Model: s.text, Version: int64(s.numbers[fieldVersion])}
+	return placer.UpgradedTarget{Target: placer.TargetHash(s.numbers[fieldExtra]), Model: s.text, Version: s.version()}
 }
 
 func (s submessage) announcedVersion() placer.AnnouncedVersion {
-	return placer.AnnouncedVersion{Model: s.text, Version: int64(s.numbers[fieldVersion]), Age: s.age()}
+	return placer.AnnouncedVersion{Model: s.text, Version: s.version(), Age: s.age()}
 }
