--- a/hostingemulator/store.go
+++ b/hostingemulator/store.go
@@ -110,10 +110,15 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutBytes(key, encoded)
+}
+
+// PutBytes writes a key without a transaction, as another writer does whose value need not be JSON.
+func (s *Store) PutBytes(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.putItem(key, encoded, 0)
+	s.putItem(key, value, 0)
 }
 
 // Delete removes a key.
