broadcaster: aggregators pass the same news on once, and bound all kinds of them

An aggregator passed on each strike, completion and limit as often as its members reported it, without a bound; only what targets hold was bounded. Each kind is now a bounded list with one entry for each thing that it is about.

--- a/broadcaster/aggregate.go
+++ b/broadcaster/aggregate.go
@@ -7,7 +7,6 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
@@ -20,22 +19,6 @@
 	receivedAt time.Time
 }
 
-// news are changes that are passed on once.
-type news struct {
-	holdings    []placer.Holding
-	strikes     []attributor.Strike
-	completions []attributor.Completion
-	limits      []placer.RateLimit
-}
-
-func (n *news) add(update placer.PeerUpdate) {
-	room := max(maxQueuedHoldings-len(n.holdings), 0)
-	n.holdings = append(n.holdings, update.Holdings[:min(len(update.Holdings), room)]...)
-	n.strikes = append(n.strikes, update.Strikes...)
-	n.completions = append(n.completions, update.Completions...)
-	n.limits = append(n.limits, update.RateLimits...)
-}
-
 // aggregate collects what an aggregator receives, and combines it into the messages that it sends.
 type aggregate struct {
 	// members is the work of the other daemons of the data centre, and remote that of the other data centres; both by
@@ -43,7 +26,7 @@
 	members map[string]contribution
 	remote  map[string]contribution
 	// localNews came from members and goes to all daemons, remoteNews from other data centres and goes to members only.
-	localNews, remoteNews news
+	localNews, remoteNews *news
 	// localPlan is the upgrade plan that a member told, and remotePlan the one that came from elsewhere. Only the former
 	// goes to other data centres, since a plan that returns there might replace a newer one.
 	localPlan, remotePlan receivedPlan
@@ -56,7 +39,9 @@
 }
 
 func newAggregate() *aggregate {
-	return &aggregate{members: make(map[string]contribution), remote: make(map[string]contribution)}
+	return &aggregate{
+		members: make(map[string]contribution), remote: make(map[string]contribution), localNews: newNews(), remoteNews: newNews(),
+	}
 }
 
 // addMember records the state of a daemon of the own data centre.
@@ -124,18 +109,20 @@
 	sum.add(own.Loads)
 	sum.addAll(a.members)
 	local := placer.PeerUpdate{
-		Loads: sum.loads(), Holdings: a.localNews.holdings, Strikes: a.localNews.strikes, Completions: a.localNews.completions, RateLimits: a.localNews.limits,
-		AnnouncedVersions: own.AnnouncedVersions, UpgradePlan: plan,
+		Loads: sum.loads(), AnnouncedVersions: own.AnnouncedVersions, UpgradePlan: plan,
 	}
+	a.localNews.fill(&local)
 	sum.addAll(a.remote)
 	fleet := local
 	fleet.Loads = sum.loads()
 	fleet.UpgradePlan = newerPlan(plan, a.remotePlan.current(now))
-	fleet.Holdings = slices.Concat(local.Holdings, a.remoteNews.holdings)
-	fleet.Strikes = slices.Concat(local.Strikes, a.remoteNews.strikes)
-	fleet.Completions = slices.Concat(local.Completions, a.remoteNews.completions)
-	fleet.RateLimits = slices.Concat(local.RateLimits, a.remoteNews.limits)
-	a.localNews, a.remoteNews = news{}, news{}
+	all := newNews()
+	all.add(local)
+	remote := placer.PeerUpdate{}
+	a.remoteNews.fill(&remote)
+	all.add(remote)
+	all.fill(&fleet)
+	a.localNews, a.remoteNews = newNews(), newNews()
 	return Message{Sender: self.Name, Scope: ScopeDataCentre, Update: local},
 		Message{Sender: self.Name, Scope: ScopeFleet, Update: fleet, Members: a.memberHashes()}
 }
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -32,8 +32,6 @@
 	// remoteTries is the number of daemons of another data centre to which an aggregator sends while it does not know
 	// which of them is the aggregator there. It grows by the same number in each aggregatorTimeout without one.
 	remoteTries = 2
-	// maxQueuedHoldings bounds the holdings that an aggregator keeps until its next message.
-	maxQueuedHoldings = 2048
 )
 
 // Outgoing are datagrams for several receivers.
--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -91,12 +91,14 @@
 	// blocked reports whether the datagrams between two daemons are lost.
 	blocked func(from, to *simulatedDaemon) bool
 	random  *rand.Rand
+	// observe is called with the datagrams of each message.
+	observe func(datagrams [][]byte)
 }
 
 func newSimulatedFleet(count, dataCentres int) *simulatedFleet {
 	f := &simulatedFleet{
 		now: time.Unix(1_000_000, 0), byAddr: make(map[netip.AddrPort]*simulatedDaemon), random: rand.New(rand.NewPCG(1, 2)),
-		blocked: func(_, _ *simulatedDaemon) bool { return false },
+		blocked: func(_, _ *simulatedDaemon) bool { return false }, observe: func([][]byte) {},
 	}
 	for i := range count {
 		d := &simulatedDaemon{work: make(map[string][]placer.Load)}
@@ -140,6 +142,7 @@
 func (f *simulatedFleet) send(from *simulatedDaemon) {
 	from.nextSend = f.now.Add(from.Interval())
 	for _, outgoing := range from.Send() {
+		f.observe(outgoing.Datagrams)
 		for _, datagram := range outgoing.Datagrams {
 			for _, address := range outgoing.To {
 				from.sent++
