ranker: one order of daemons by link, which broadcaster and repeater had each

The orders themselves are unchanged: the hash still begins with the duty's name. Tests of ranker, repeater and broadcaster pass.

--- a/broadcaster/topology.go
+++ b/broadcaster/topology.go
@@ -1,12 +1,10 @@
 package broadcaster
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 
-	"github.com/zeebo/xxh3"
+	"github.com/rosemaryrill/rosemaryrill/ranker"
 )
 
 // Peer is another daemon.
@@ -18,13 +16,10 @@
 	LinkMegabits float64
 }
 
-// rank orders daemons with the same bandwidth.
-func (p Peer) rank() uint64 { return xxh3.HashString("aggregator " + p.Name) }
-
-// compareRanks orders the daemons of a data centre, in the same way at all daemons. The largest link comes first, since an
-// aggregator sends as much as all others of its data centre together.
+// compareRanks orders the daemons of a data centre. The largest link comes first, since an aggregator sends as much as all
+// others of its data centre together.
 func compareRanks(a, b Peer) int {
-	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(a.rank(), b.rank()), strings.Compare(a.Name, b.Name))
+	return ranker.Compare("aggregator", ranker.Member{Name: a.Name, LinkMegabits: a.LinkMegabits}, ranker.Member{Name: b.Name, LinkMegabits: b.LinkMegabits})
 }
 
 // topology is the set of daemons, by data centre and rank.
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -10,7 +10,12 @@
 //	}
 package ranker
 
-import "github.com/zeebo/xxh3"
+import (
+	"cmp"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
 
 // Position returns the position of the daemon with the name self among itself and the others, from zero.
 func Position(self string, others []string, key uint64) (position int) {
@@ -22,3 +27,17 @@
 	}
 	return position
 }
+
+// Member is a daemon that Compare orders.
+type Member struct {
+	Name string
+	// LinkMegabits is the bandwidth of the daemon's link in Mbit/s.
+	LinkMegabits float64
+}
+
+// Compare orders daemons for a duty that costs bandwidth, in the same way at all daemons: the largest link comes first, and
+// daemons with equal links are in an order of the duty's own. It returns a negative number if a comes before b.
+func Compare(duty string, a, b Member) int {
+	rank := func(m Member) uint64 { return xxh3.HashString(duty + " " + m.Name) }
+	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(rank(a), rank(b)), strings.Compare(a.Name, b.Name))
+}
--- a/repeater/rank.go
+++ b/repeater/rank.go
@@ -1,12 +1,10 @@
 package repeater
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 
-	"github.com/zeebo/xxh3"
+	"github.com/rosemaryrill/rosemaryrill/ranker"
 )
 
 // MinDaemons is the number of daemons of a data centre from which on they read the store through each other. Fewer of
@@ -21,11 +19,9 @@
 	LinkMegabits float64
 }
 
-func (d Daemon) rank() uint64 { return xxh3.HashString("store reader " + d.Name) }
-
-// compareRanks orders the daemons of a data centre, in the same way at all daemons. The largest link comes first.
+// compareRanks orders the daemons of a data centre. The largest link comes first.
 func compareRanks(a, b Daemon) int {
-	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(a.rank(), b.rank()), strings.Compare(a.Name, b.Name))
+	return ranker.Compare("store reader", ranker.Member{Name: a.Name, LinkMegabits: a.LinkMegabits}, ranker.Member{Name: b.Name, LinkMegabits: b.LinkMegabits})
 }
 
 // Sources returns the daemons from which a daemon may read, best first: those that rank before it. The first daemon of
