--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/poller"
+	"github.com/rosemaryrill/rosemaryrill/ranker"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
 )
 
@@ -109,10 +110,10 @@
 	return broadcaster.Peer{Name: strings.TrimPrefix(peer.Key, hostsPrefix), Address: peer.Address, DataCentre: peer.DataCentre, LinkMegabits: peer.LinkMegabits}
 }
 
-// isAssigned reports whether this daemon polls the named engine or cache store. The daemon with the highest
-// rendezvous score among those in the data centre of the engine or cache store polls it. If that data centre
-// has no daemon, the daemon with the highest score of all data centres does. While a daemon warms up, it polls
-// all engines and the cache store, see warmUpDuration and maxWarmUpPeers.
+// isAssigned reports whether this daemon polls the named engine or cache store. The first daemon by ranker.Position
+// among those in the data centre of the engine or cache store polls it. If that data centre has no daemon, the first
+// one of all data centres does. While a daemon warms up, it polls all engines and the cache store, see warmUpDuration
+// and maxWarmUpPeers.
 func (d *Daemon) isAssigned(name string) bool {
 	c := &d.cachePolling
 	c.mu.Lock()
@@ -129,15 +130,13 @@
 	if len(candidates) == 0 && own.DataCentre != dataCentre {
 		candidates = c.peers
 	}
+	var others []string
 	for _, peer := range candidates {
-		if !d.broadcaster.Alive(broadcastPeer(peer)) {
-			continue // The peer may have stopped; its presence entry remains until it expires.
-		}
-		if rendezvousScore(peer, name) > rendezvousScore(own, name) {
-			return false
+		if d.broadcaster.Alive(broadcastPeer(peer)) { // The presence entry of a stopped peer remains until it expires.
+			others = append(others, peer.Key)
 		}
 	}
-	return true
+	return ranker.Position(own.Key, others, xxh3.HashString(name)) == 0
 }
 
 func (c *cachePolling) dataCentreOf(name string) string {
@@ -158,7 +157,3 @@
 	}
 	return peers
 }
-
-func rendezvousScore(peer tracker.Peer, name string) uint64 {
-	return xxh3.HashString(peer.Key + " " + name)
-}
