--- a/drainer/answer_test.go
+++ b/drainer/answer_test.go
@@ -118,7 +118,7 @@
 // An answer that was written whole does not count as cut: the server keeps the connection for 0.5 s, since the request's
 // body was longer than it reads.
 func TestWrittenAnswerIsNotCut(t *testing.T) {
-	s := startServer(t, drainer.Settings{}, listen(t), func(w http.ResponseWriter, r *http.Request) {
+	s := startServer(t, drainer.Settings{}, listen(t), func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
@@ -136,7 +136,7 @@
 
 // The server ends its side at once after an answer without a length, as it does without a Drainer.
 func TestCloseWriteIsPassedOn(t *testing.T) {
-	s := startServer(t, drainer.Settings{}, listen(t), func(w http.ResponseWriter, r *http.Request) {
+	s := startServer(t, drainer.Settings{}, listen(t), func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	c := dial(t, s.address)
