tracker: declarations of the store and of other daemons are applied one at a time

A deletion forgot an odd entry without the lock under which a starting daemon applies what other daemons tell: a concurrent write to a map, which ends the process.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -56,7 +56,7 @@
 // DeclarationTracker tracks the items that operators declare. Its methods are safe for concurrent use.
 type DeclarationTracker struct {
 	settings DeclarationTrackerSettings
-	// applying makes the calls of apply follow each other.
+	// applying makes the calls of apply follow each other, and protects odd.
 	applying sync.Mutex
 	catalog  atomic.Pointer[cataloger.Catalog]
 	odd      oddEntries
@@ -84,11 +84,17 @@
 		if event.Kind == storer.EventPut {
 			d.apply(event.Item)
 		} else {
-			d.odd.forget(event.Item.Key)
+			d.forgetOdd(event.Item.Key)
 		}
 	}
 }
 
+func (d *DeclarationTracker) forgetOdd(key string) {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	d.odd.forget(key)
+}
+
 func (d *DeclarationTracker) apply(item storer.Item) {
 	d.applying.Lock()
 	defer d.applying.Unlock()
