leaser: the lease of another daemon is not ended after a restore of the store

A daemon that no longer wanted its lease, or closed, ended it by its number, which a store that came back from a copy may have given to another daemon. A renewal, whose answer tells the era, comes before it now. Red before: TestUnwantedLeaseOfEarlierEraEndsNoOther and TestCloseEndsNoLeaseOfOthersAfterRestore (the key of another daemon's lease was deleted).

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -120,6 +120,20 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
+	return l.revoke(ctx, lease)
+}
+
+// revoke ends a lease. A renewal shows before whether the lease still exists: after a restore of the store, its id may be that of
+// another daemon's lease, which the call would end.
+func (l *Leaser) revoke(ctx context.Context, lease storer.LeaseID) error {
+	_, err := l.settings.Store.Renew(ctx, lease)
+	var ended *storer.NotFoundError
+	if errors.As(err, &ended) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	return l.settings.Store.Revoke(ctx, lease)
 }
 
@@ -228,7 +242,7 @@
 func (l *Leaser) release(ctx context.Context, lease storer.LeaseID) {
 	// Held must not report the lease during the call, since the store may end the lease at any time from then on.
 	l.setLease(storer.NoLease, l.settings.Now(), 0)
-	err := l.settings.Store.Revoke(ctx, lease)
+	err := l.revoke(ctx, lease)
 	l.settings.Logger.Info("lease revocation requested", "lease", lease, "error", err)
 }
 
