--- a/storer/era.go
+++ b/storer/era.go
@@ -17,7 +17,7 @@
 	eraBits      = 23
 )
 
-// MaxRevision is the highest revision that a Version with an era can contain, and MaxEra the highest era.
+// MaxRevision is the highest revision that a Version can contain, and MaxEra the highest era.
 const (
 	MaxRevision = 1<<revisionBits - 1
 	MaxEra      = 1<<eraBits - 1
@@ -27,7 +27,7 @@
 // after a restore has a higher version than all those before it, although its revision may be lower. In era zero the version
 // is the revision. It returns a RangeError if the numbers do not fit.
 func NewVersion(era Era, revision uint64) (Version, error) {
-	if era > MaxEra || era > 0 && revision > MaxRevision {
+	if era > MaxEra || revision > MaxRevision {
 		return 0, &RangeError{Era: era, Revision: revision}
 	}
 	return Version(uint64(era)<<revisionBits | revision), nil
@@ -38,9 +38,6 @@
 
 // Revision returns the revision of a version that NewVersion has returned.
 func (v Version) Revision() uint64 {
-	if v.Era() == 0 {
-		return uint64(v)
-	}
 	return uint64(v) & MaxRevision
 }
 
