repeater, assembler: what a starting daemon has learned is passed on to the next one

Callers would see 404 for a confirmed route, and a key that was taken away would work: a daemon that started after a restore and learned the configuration in force from another one did not tell it on, so the next one that started knew only what the store had brought back. A copy also dropped what it had if the store came back empty, since the era was taken from the items.

--- a/assembler/catchup.go
+++ b/assembler/catchup.go
@@ -91,6 +91,7 @@
 		return
 	}
 	d.view.declarations.HandleEvents(events.Events, false)
+	d.sharing.copies[platform.DeclarationsPrefix].Learn(events.Events)
 }
 
 // supersedes reports whether a declaration is newer by its contents than one that the store has brought back.
--- a/repeater/copy.go
+++ b/repeater/copy.go
@@ -75,20 +75,42 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(items))
-	var era storer.Era
 	for _, item := range items {
 		present[item.Key] = true
-		era = max(era, item.Version.Era())
 		c.put(item)
 	}
 	c.missing, c.reset = nil, true
-	for key, known := range c.items {
-		if kept := c.settings.Supersedes != nil && known.Version.Era() < era; !present[key] && !kept {
+	for key := range c.items {
+		if !present[key] {
 			c.missing = append(c.missing, key)
 		}
 	}
 }
 
+// Learn adds the items that another daemon has in force although a restore of the store has lost them or brought back older
+// ones. What the store itself tells in the same era goes before them.
+func (c *Copy) Learn(events []storer.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, event := range events {
+		if event.Kind == storer.EventPut && c.isLost(event.Item) {
+			c.items[event.Item.Key] = copiedItem{Item: event.Item, changedAt: event.Item.Version}
+		}
+	}
+}
+
+// isLost reports whether a restore has lost the item, or brought back an older one in its place.
+func (c *Copy) isLost(item storer.Item) bool {
+	known, exists := c.items[item.Key]
+	if c.settings.Supersedes == nil {
+		return false
+	}
+	if !exists {
+		return c.contact == 0 || item.Version.Era() < c.revision.Era()
+	}
+	return item.Version.Era() < known.Version.Era() && c.settings.Supersedes(item, known.Item)
+}
+
 // HandleEvents applies events.
 func (c *Copy) HandleEvents(events []storer.Event, afterOutage bool) {
 	c.settings.Sink.HandleEvents(events, afterOutage)
@@ -121,7 +143,9 @@
 		c.wake()
 	}
 	for _, key := range c.missing {
-		c.remove(storer.Item{Key: key, Version: revision})
+		if c.settings.Supersedes == nil || c.items[key].Version.Era() >= revision.Era() {
+			c.remove(storer.Item{Key: key, Version: revision})
+		}
 	}
 	if revision.Era() > c.revision.Era() {
 		c.horizon, c.deletions = revision, nil // A reader may know more of the earlier era than this copy does.
