--- a/assembler/catchup.go
+++ b/assembler/catchup.go
@@ -20,6 +20,8 @@
 	maxCatchUpPeers = 3
 	// catchUpTimeout bounds the time for which a starting daemon waits for their answers.
 	catchUpTimeout = 400 * time.Millisecond
+	// maxCatchUpWait bounds the time for which a starting daemon waits in all, however many daemons appear meanwhile.
+	maxCatchUpWait = 500 * time.Millisecond
 	// catchUpWindow is how long after its start a daemon also asks daemons that it had not known.
 	catchUpWindow = 5 * time.Second
 )
@@ -35,6 +37,8 @@
 	asked map[netip.AddrPort]bool
 	// waiting counts the rounds of calls that have not ended.
 	waiting int
+	// limited is set once maxCatchUpWait runs.
+	limited bool
 }
 
 // catchUpWith asks some of the peers that were not asked before, while the daemon starts.
@@ -78,6 +82,10 @@
 			chosen = append(chosen, address)
 		}
 	}
+	if len(chosen) > 0 && !c.limited {
+		c.limited = true
+		time.AfterFunc(maxCatchUpWait, func() { c.done.Store(true) })
+	}
 	return chosen
 }
 
