--- a/drainer/heldup_test.go
+++ b/drainer/heldup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,11 +43,11 @@
 // Guards against requests without an answer on a busy machine (LOST): the request arrives before the last look, and the
 // goroutine that looks is held up for longer than the look takes.
 func TestDrainAnswersRequestsWhenHeldUp(t *testing.T) {
-	held := &heldUpListener{Listener: listen(t)}
+	var idle atomic.Pointer[caller]
+	held := &heldUpListener{Listener: listen(t), arrive: func() { idle.Load().send(getRequest) }}
 	s := startServer(t, drainer.Settings{}, held, answerOK)
-	var c *caller
-	held.arrive = func() { c.send(getRequest) }
-	c = dial(t, s.address)
+	c := dial(t, s.address)
+	idle.Store(c)
 	c.send(getRequest)
 	if _, err := c.response(); err != nil {
 		t.Fatal(err)
