--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -49,8 +49,8 @@
 	// AbortCause is the cause with which the contexts of requests are cancelled that are open when the drain has to
 	// end. Default: context.Canceled.
 	AbortCause error
-	// KeepAlive is the time after an answer within which its caller may use the connection again, unless the idle timeout
-	// is shorter. Answers announce it, in whole seconds. Drain closes an idle connection only after this time, so if it is
+	// KeepAlive is the time after an answer within which its caller may use the connection again; it is at most four fifths of
+	// the idle timeout. Answers announce it, in whole seconds. Drain closes an idle connection only after this time, so if it is
 	// shorter than the time between Leave and Drain, no request meets the close. Default: none is announced.
 	KeepAlive time.Duration
 	// Logger receives a line for each drain, and one for each connection that was cut during a request. Default: none.
--- a/tracker/concurrent_test.go
+++ b/tracker/concurrent_test.go
@@ -11,7 +11,7 @@
 
 // Guards against concurrent use that ends the process: a starting daemon applies what the store and other daemons tell at the
 // same time. It fails under the race detector.
-func TestDeclarationsAreAppliedConcurrently(t *testing.T) {
+func TestDeclarationsAreAppliedConcurrently(_ *testing.T) {
 	declarations := tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: func(storer.Item) (tracker.Declared, error) { return tracker.Declared{}, errors.New("odd") },
 		Logger: discardLogger(),
