drainer: one loop waits for connections to end, in Drain and in abort

The loop stood twice, and the count of open requests too. No behaviour changes. Run on this commit's code: drainer (also with -race), server, the stop tests of assembler and runner, gofumpt, revive, vet, builds for arm64 and x86-64.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -153,11 +153,7 @@
 func (d *Drainer) Drain(ctx context.Context) Report {
 	d.Leave()
 	d.draining.Store(true)
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for !d.closeQuiet() && ctx.Err() == nil {
-		d.awaitChange(ctx, ticker)
-	}
+	d.awaitQuiet(ctx)
 	if ctx.Err() != nil {
 		d.abort()
 	}
@@ -169,11 +165,16 @@
 	return report
 }
 
-func (d *Drainer) awaitChange(ctx context.Context, ticker *time.Ticker) {
-	select {
-	case <-d.changed:
-	case <-ticker.C:
-	case <-ctx.Done():
+// awaitQuiet closes connections between requests until none is left or ctx ends.
+func (d *Drainer) awaitQuiet(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for !d.closeQuiet() && ctx.Err() == nil {
+		select {
+		case <-d.changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -203,22 +204,15 @@
 // abort cancels the open requests and waits shortly for their answers.
 func (d *Drainer) abort() {
 	d.stopAccepting()
-	for _, c := range d.snapshot() {
-		if c.currentState() == stateServing {
-			d.count(func(r *Report) { r.Aborted++ })
-		}
-	}
+	open := d.OpenRequests()
+	d.count(func(r *Report) { r.Aborted += open })
 	d.cancel(d.settings.AbortCause)
 	for _, c := range d.snapshot() {
 		c.interruptBody()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for !d.closeQuiet() && ctx.Err() == nil {
-		d.awaitChange(ctx, ticker)
-	}
+	d.awaitQuiet(ctx)
 }
 
 // Close closes the listeners and all connections at once, and counts those that it cuts during a request.
