cataloger: the shared cache namespace follows from which accounts are isolated

Cause: the salt of all accounts that aren't isolated was a constant, so what the account had left under it stayed in reach. Engines find entries by the salt alone; nothing tells who made them.

Change: the shared namespace contains a digest of the set of isolated accounts. Under it only accounts outside that set ever ran. It follows from the configuration, so daemons that start late form the same one. The namespace of a request comes from the same configuration as its account.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,7 +38,9 @@
 	services []*hostingemulator.Target
 	daemons  []*daemon
 	version  int64
-	client   *http.Client
+	// openAccounts are the names of the accounts that are not isolated.
+	openAccounts []string
+	client       *http.Client
 }
 
 type daemon struct {
@@ -65,7 +68,7 @@
 
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: hostingemulator.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	f := &fleet{t: t, store: hostingemulator.NewStore(), openAccounts: []string{"account-2"}, client: &http.Client{Transport: &http.Transport{}}}
 	listen := netip.MustParseAddrPort(loopback)
 	if err := f.store.Listen(listen); err != nil {
 		t.Fatal(err)
@@ -119,10 +122,14 @@
 			map[string]any{"name": "services", "maxConnections": 50},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys, "isolated": true}, map[string]any{"name": "account-2", "apiKeys": []string{"key-2"}}},
+		"tenants": []any{f.account("account-1", keys), f.account("account-2", []string{"key-2"})},
 	})
 }
 
+func (f *fleet) account(name string, keys []string) map[string]any {
+	return map[string]any{"name": name, "apiKeys": keys, "isolated": !slices.Contains(f.openAccounts, name)}
+}
+
 // portsTried counts the ports that freePort has tried. They lie below the ephemeral range, so that no
 // outgoing connection uses a port before the daemon listens on it.
 var portsTried atomic.Uint32
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -155,17 +155,20 @@
 	services     map[string]*Service // by name
 	accounts     map[string]*Account // by API key
 	requiresKeys bool
+	// sharedNamespace is the cache namespace of all accounts that are not isolated.
+	sharedNamespace string
 }
 
 // New returns the Catalog of a version. It keeps references to the declarations, which the caller must not change.
 func New(version int64, declarations Declarations) *Catalog {
 	c := &Catalog{
-		version:      version,
-		limits:       declarations.Limits,
-		byHost:       make(map[string][]*Route),
-		services:     make(map[string]*Service, len(declarations.Services)),
-		accounts:     make(map[string]*Account),
-		requiresKeys: len(declarations.Accounts) > 0,
+		version:         version,
+		limits:          declarations.Limits,
+		byHost:          make(map[string][]*Route),
+		services:        make(map[string]*Service, len(declarations.Services)),
+		accounts:        make(map[string]*Account),
+		requiresKeys:    len(declarations.Accounts) > 0,
+		sharedNamespace: sharedNamespace(declarations.Accounts),
 	}
 	for i := range declarations.Routes {
 		route := &declarations.Routes[i]
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -56,7 +56,7 @@
 	Service string
 	// Model is empty for services without a model.
 	Model string
-	// CacheNamespace is the cache namespace of an isolated account; it is empty for all other accounts.
+	// CacheNamespace separates the cached parts of requests that must not share any.
 	CacheNamespace string
 	// Parts are the parts of the prompt in order. The last one belongs to the request alone.
 	Parts        []Part
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -73,7 +73,7 @@
 		Target:         choice.Target,
 		Remaining:      time.Until(r.deadline),
 		Weights:        choice.Version,
-		CacheNamespace: r.cacheNamespace(),
+		CacheNamespace: r.cacheNamespace,
 		FetchFrom:      choice.FetchFrom,
 		SaveTo:         choice.SaveTo,
 		Urgency:        r.urgency(),
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -39,6 +39,8 @@
 	account  *cataloger.Account
 	service  string
 	deadline time.Time
+	// cacheNamespace is the namespace of the cached parts, by the same configuration as account.
+	cacheNamespace string
 
 	// attempts counts the attempts, and runs those that a target may have run.
 	attempts     int
@@ -171,6 +173,7 @@
 		return denied(http.StatusRequestEntityTooLarge, ReasonTooLarge)
 	}
 	r.route = route
+	r.cacheNamespace = catalog.CacheNamespace(r.account)
 	r.service = route.Service(r.call.ID)
 	r.deadline = r.call.ArrivedAt.Add(route.Timeout)
 	if timeout := r.call.Timeout; timeout > 0 && timeout < route.Timeout {
@@ -213,22 +216,13 @@
 func (r *relayedRequest) placerCall() placer.Call {
 	prompt := r.call.Prompt
 	return placer.Call{
-		Service: r.service, Model: prompt.Model, CacheNamespace: r.cacheNamespace(),
+		Service: r.service, Model: prompt.Model, CacheNamespace: r.cacheNamespace,
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
 		Urgency: r.urgency(), FirstEventLimit: r.firstEventLimit(),
 		TimeLeft: max(time.Until(r.deadline)-responseMargin, time.Nanosecond),
 	}
 }
 
-// cacheNamespace returns the namespace of the cached parts: the name of an isolated account, or the empty
-// string, which all other accounts share.
-func (r *relayedRequest) cacheNamespace() string {
-	if r.account != nil && r.account.Isolated {
-		return r.account.Name
-	}
-	return ""
-}
-
 // decideRetry returns nil if the request is sent again after an attempt whose answer was not forwarded completely,
 // and otherwise the response to the caller.
 func (r *relayedRequest) decideRetry(ctx context.Context, result attemptResult, choice placer.Choice) *Refusal {
@@ -323,7 +317,7 @@
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
 		"target", r.target, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
 		"read", r.choice.PrefillTokens, "ahead", r.choice.QueuedPrefillTokens, "in_hand", r.choice.Requests,
-		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace(), "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
+		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace, "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
 		"rate_limit", r.rateLimit, "crashing", r.crashingName(), "cause", errorText(r.cause))
