placer: a target that says that it is leaving gets no further requests

The daemon goes on sending it requests, and those that are open when it ends are cut.

Cause: nothing read the word. A target counted as leaving by its entry in the store alone.

Change: platform decodes the word in all answers, also to orders, reports and polls; placer remembers it by incarnation, apart from the list of targets; broadcaster tells the other daemons. Choice is one function for first attempts, retries and resumptions, so all heed it.

--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -45,7 +45,7 @@
 
 func (d *Daemon) newPoller() *poller.Poller[placer.CacheEvents] {
 	return poller.New(poller.Settings[placer.CacheEvents]{
-		Engines: platform.EngineClient{Connector: d.connector}, Observer: d.view.placer, Assigned: d.isAssigned,
+		Engines: platform.EngineClient{Connector: d.connector, Observer: d.view.placer}, Observer: d.view.placer, Assigned: d.isAssigned,
 		EventWait: eventsPollTimeout, EventInterval: eventsPollInterval, Logger: d.loggerFor("poller"),
 	})
 }
--- a/assembler/coordination.go
+++ b/assembler/coordination.go
@@ -35,7 +35,7 @@
 		OnDemand: true, OnAcquired: func() { d.coordination.upgrader.Wake() },
 	})
 	return coordination{presenceLease: presence, upgraderLease: lease, upgrader: upgrader.New(upgrader.Settings{
-		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.EngineClient{Connector: d.connector},
+		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.EngineClient{Connector: d.connector, Observer: d.view.placer},
 		Placer: d.view.placer, Logger: d.loggerFor("upgrader"), TakeOverDelay: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
 		OnPlanChange: func() { d.broadcaster.SendNow() },
 	})}
--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -43,11 +43,12 @@
 	strikes     []attributor.Strike
 	completions []attributor.Completion
 	limits      []placer.RateLimit
+	departures  []placer.TargetHash
 }
 
 func (d *simulatedDaemon) Export() placer.PeerUpdate {
 	update := d.own
-	d.own.Holdings, d.own.Strikes, d.own.Completions, d.own.RateLimits = nil, nil, nil, nil
+	d.own.Holdings, d.own.Strikes, d.own.Completions, d.own.RateLimits, d.own.Departures = nil, nil, nil, nil, nil
 	return update
 }
 
@@ -59,6 +60,7 @@
 	d.strikes = append(d.strikes, update.Strikes...)
 	d.completions = append(d.completions, update.Completions...)
 	d.limits = append(d.limits, update.RateLimits...)
+	d.departures = append(d.departures, update.Departures...)
 	if update.UpgradePlan.FencingToken >= d.plan.FencingToken {
 		d.plan = update.UpgradePlan
 	}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -31,6 +31,7 @@
 	fieldMembers      protowire.Number = 11
 	fieldCompletion   protowire.Number = 12
 	fieldRateLimit    protowire.Number = 13
+	fieldDeparture    protowire.Number = 14
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -118,6 +119,9 @@
 	for _, limit := range m.Update.RateLimits {
 		datagram = appendVarints(datagram, fieldRateLimit, uint64(limit.Target), limitNumber(limit), milliseconds(limit.Age))
 	}
+	for _, incarnation := range m.Update.Departures {
+		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
+	}
 	datagram = appendMembers(datagram, m.Members)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
@@ -294,6 +298,8 @@
 		update.Strikes = append(update.Strikes, s.strike())
 	case fieldRateLimit:
 		update.RateLimits = append(update.RateLimits, s.rateLimit())
+	case fieldDeparture:
+		update.Departures = append(update.Departures, placer.TargetHash(s.numbers[fieldTarget]))
 	case fieldCompletion:
 		update.Completions = append(update.Completions, attributor.Completion{Cause: attributor.Cause(s.numbers[fieldCause]), Age: s.age()})
 	case fieldAnnouncedVersion:
--- a/broadcaster/news.go
+++ b/broadcaster/news.go
@@ -6,12 +6,13 @@
 )
 
 const (
-	// maxQueuedHoldings, maxQueuedStrikes, maxQueuedCompletions and maxQueuedLimits bound what an aggregator keeps until its
-	// next message.
+	// maxQueuedHoldings, maxQueuedStrikes, maxQueuedCompletions, maxQueuedLimits and maxQueuedDepartures bound what an
+	// aggregator keeps until its next message.
 	maxQueuedHoldings    = 2048
 	maxQueuedStrikes     = 512
 	maxQueuedCompletions = 512
 	maxQueuedLimits      = 512
+	maxQueuedDepartures  = 512
 )
 
 // joined is a bounded list of changes, with one change for each key.
@@ -57,6 +58,7 @@
 	strikes     joined[strikeKey, attributor.Strike]
 	completions joined[attributor.Cause, attributor.Completion]
 	limits      joined[placer.TargetHash, placer.RateLimit]
+	departures  joined[placer.TargetHash, placer.TargetHash]
 }
 
 func newNews() *news {
@@ -65,6 +67,7 @@
 		strikes:     newJoined[strikeKey, attributor.Strike](maxQueuedStrikes),
 		completions: newJoined[attributor.Cause, attributor.Completion](maxQueuedCompletions),
 		limits:      newJoined[placer.TargetHash, placer.RateLimit](maxQueuedLimits),
+		departures:  newJoined[placer.TargetHash, placer.TargetHash](maxQueuedDepartures),
 	}
 }
 
@@ -82,15 +85,19 @@
 	for _, l := range update.RateLimits {
 		n.limits.add(l.Target, l, latestLimit)
 	}
+	for _, incarnation := range update.Departures {
+		n.departures.add(incarnation, incarnation, last)
+	}
 }
 
 // fill sets the changes of an update.
 func (n *news) fill(update *placer.PeerUpdate) {
 	update.Holdings, update.Strikes = n.holdings.changes, n.strikes.changes
 	update.Completions, update.RateLimits = n.completions.changes, n.limits.changes
+	update.Departures = n.departures.changes
 }
 
-func last(_, further placer.Holding) placer.Holding { return further }
+func last[V any](_, further V) V { return further }
 
 // joinStrikes keeps the age of the first report, and that the incarnation has ended if any report says so.
 func joinStrikes(known, further attributor.Strike) attributor.Strike {
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -47,6 +47,8 @@
 	// NamedLimit is the number of requests a second that the target names as its limit in all answers. It does not enforce
 	// the limit. Zero names none.
 	NamedLimit float64
+	// SaysLeaving makes the target say in all answers that it is leaving. Its entry in the store stays as it is.
+	SaysLeaving bool
 }
 
 // Run is a request that a target executed.
@@ -102,7 +104,18 @@
 	mux.HandleFunc("GET /report", t.handleReport)
 	mux.HandleFunc("POST /order", t.handleOrder)
 	mux.HandleFunc("/", t.handleRequest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.saysLeaving() {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (t *Target) saysLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults.SaysLeaving
 }
 
 // Drain writes an entry with the state "draining" to the store.
@@ -118,8 +131,8 @@
 	return nil
 }
 
-// crash closes all connections, and lets a new incarnation of the target listen after TargetSettings.RestartTime.
-func (t *Target) crash() {
+// Crash closes all connections, and lets a new incarnation of the target listen after TargetSettings.RestartTime.
+func (t *Target) Crash() {
 	t.mu.Lock()
 	t.crashes++
 	t.mu.Unlock()
@@ -299,7 +312,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	if hasSharedPart(r.Header.Get("X-Prompt-Prefix"), faults.CrashOnPart) {
 		_ = http.NewResponseController(w).Flush() // The head of the answer is all that is sent.
-		t.crash()
+		t.Crash()
 		panic(http.ErrAbortHandler)
 	}
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -138,7 +138,7 @@
 	index := p.newHolderIndex(call, now)
 	retryAfter := time.Duration(0)
 	for _, t := range p.byService[call.Service] {
-		if t.Leaving || t.gone || slices.Contains(excluded, t.ID) || !allowed(t) {
+		if !p.accepts(t) || slices.Contains(excluded, t.ID) || !allowed(t) {
 			continue
 		}
 		if wait := p.limitWait(t, now); wait > 0 {
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -66,7 +66,7 @@
 }
 
 // forVersion returns the holders under a version of the weights. It skips targets that are in backoff after a connection
-// failure or have an overdue answer.
+// failure, have an overdue answer or are gone.
 func (x *holderIndex) forVersion(version int64) *promptHolders {
 	if known := x.byVersion[version]; known != nil {
 		return known
@@ -74,7 +74,7 @@
 	found := &promptHolders{keys: x.call.sharedPartKeys(version)}
 	x.byVersion[version] = found
 	for _, t := range x.placer.byService[x.call.Service] {
-		if t.Versions[x.call.Model] != version || t.backoffUntil.After(x.now) || t.answerOverdue(x.now) {
+		if t.Versions[x.call.Model] != version || t.backoffUntil.After(x.now) || t.answerOverdue(x.now) || !x.placer.servesFetches(t, x.now) {
 			continue
 		}
 		found.maxTokens = max(found.maxTokens, x.call.cachedTokens(t.cached, found.keys))
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -83,15 +83,17 @@
 	Strikes           []attributor.Strike
 	Completions       []attributor.Completion
 	RateLimits        []RateLimit
+	// Departures are the incarnations that said that they are leaving.
+	Departures []TargetHash
 	// UpgradePlan is the plan of the sender if it holds the update lock.
 	UpgradePlan UpgradePlan
 }
 
-// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits or targets that are being
-// upgraded. An update with only the rest, such as announced versions, need not be sent, since the next update contains it too.
+// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits, departures or targets that
+// are being upgraded. An update with only the rest, such as announced versions, need not be sent, since the next update contains it too.
 func (u PeerUpdate) Empty() bool {
 	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.Completions) == 0 && len(u.RateLimits) == 0 &&
-		len(u.UpgradePlan.Upgrading) == 0
+		len(u.Departures) == 0 && len(u.UpgradePlan.Upgrading) == 0
 }
 
 // peer is the last known work of another daemon at the targets.
@@ -124,8 +126,8 @@
 // maxExportedVersions bounds the wanted versions of a model that are sent to peers.
 const maxExportedVersions = 4
 
-// Export returns the work of this daemon, the changes of held parts and of rate limits since the last call, and the newest
-// wanted versions of the weights. The caller adds the strikes, the completions and the upgrade plan.
+// Export returns the work of this daemon, the changes of held parts and of rate limits since the last call, the targets that
+// said that they are leaving, and the newest wanted versions of the weights. The caller adds the strikes, the completions and the upgrade plan.
 func (p *Placer) Export() (update PeerUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -145,11 +147,12 @@
 	update.Holdings = p.pendingHoldings
 	p.pendingHoldings = nil
 	update.RateLimits = p.exportLimits(now)
+	update.Departures = p.exportDepartures(now)
 	return update
 }
 
-// Import replaces the known work of a peer at the targets, and adds the parts, rate limits and wanted versions that it
-// announces.
+// Import replaces the known work of a peer at the targets, and adds the parts, rate limits, departures and wanted versions
+// that it announces.
 // It ignores the strikes, the completions and the upgrade plan, and drops the work of peers that have timed out.
 func (p *Placer) Import(name string, update PeerUpdate) {
 	p.mu.Lock()
@@ -157,6 +160,9 @@
 	now := p.settings.Now()
 	p.replacePeerWork(name, update, now)
 	p.importLimits(update.RateLimits, now)
+	for _, incarnation := range update.Departures {
+		p.addDeparture(incarnation, false)
+	}
 	for _, announced := range update.AnnouncedVersions {
 		p.addWanted(announced.Model, wantedVersion{version: announced.Version, since: now.Add(-announced.Age)})
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,6 +23,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sync"
@@ -132,6 +133,8 @@
 	// Seed must differ between daemons. It makes the keys that each daemon assigns to unshared parts distinct from those
 	// of the other daemons.
 	Seed uint64
+	// Logger logs what targets say of themselves. Default: no log.
+	Logger *slog.Logger
 }
 
 // Engine describes the engines of a service.
@@ -190,8 +193,10 @@
 	byService map[string][]*target      // by service
 	peers     map[string]peer           // by the name that Import was given
 	byHash    map[TargetHash]*target
-	rates     map[string]*prefillEstimator // by service
-	store     *partStore
+	// departures are the incarnations that said that they are leaving.
+	departures map[TargetHash]*departure
+	rates      map[string]*prefillEstimator // by service
+	store      *partStore
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
@@ -204,6 +209,9 @@
 
 // New returns a Placer without targets.
 func New(settings Settings) *Placer {
+	if settings.Logger == nil {
+		settings.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Placer{
 		settings:         settings,
 		started:          settings.Now(),
@@ -213,6 +221,7 @@
 		byService:        make(map[string][]*target),
 		peers:            make(map[string]peer),
 		byHash:           make(map[TargetHash]*target),
+		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
 		store:            newPartStore(CacheStore{}),
 		unsharedPartSeed: settings.Seed,
@@ -223,6 +232,7 @@
 func (p *Placer) SetTargets(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.settings.Now()
 	before := p.targets
 	p.targets = make(map[string]*target, len(targets))
 	p.byService = make(map[string][]*target)
@@ -232,7 +242,7 @@
 		if known == nil || !known.Started.Equal(described.Started) || known.Address != described.Address {
 			known = newTarget(described)
 		}
-		known.applyDescription(described)
+		known.applyDescription(described, now)
 		p.targets[described.ID] = known
 		p.byService[described.Service] = append(p.byService[described.Service], known)
 		p.byHash[known.hash] = known
@@ -241,6 +251,7 @@
 	for _, known := range p.peers {
 		p.addPeerWork(known.loads, identity)
 	}
+	p.forgetDepartures(now)
 }
 
 // SetEngines sets the properties of the engines of each service.
@@ -305,7 +316,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, known := range p.targets {
-		if !known.Leaving && !known.gone {
+		if p.accepts(known) {
 			targets = append(targets, known.snapshot())
 		}
 	}
--- a/placer/target.go
+++ b/placer/target.go
@@ -82,6 +82,8 @@
 
 	limit rateLimit
 
+	// leavingSince is when the description first showed that the target is leaving; zero before.
+	leavingSince time.Time
 	// gone is set once an answer shows that the incarnation accepts no more requests, whatever Leaving reports.
 	gone bool
 	// upgradingUntil is the time until which the target gets no requests, because its weights are being upgraded.
@@ -117,7 +119,10 @@
 
 // applyDescription replaces the description of the target. It does not lower versions of weights, since the description
 // may be older than the answers that reported them.
-func (t *target) applyDescription(described Target) {
+func (t *target) applyDescription(described Target, now time.Time) {
+	if described.Leaving && t.leavingSince.IsZero() {
+		t.leavingSince = now
+	}
 	versions := maps.Clone(t.Versions)
 	t.Target = described
 	t.Versions = maps.Clone(described.Versions)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -132,7 +132,7 @@
 }
 
 // recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, its rate
-// limit, the version of its weights, and whether it refused the request or is gone.
+// limit, the version of its weights, and whether it refused the request, is leaving or is gone.
 func (r *relayedRequest) recordTargetState(choice placer.Choice, answer Answer) {
 	if answer.Requests >= 0 {
 		choice.Attempt.RecordRequestCount(answer.Requests)
@@ -151,6 +151,9 @@
 	case answer.Weights > 0:
 		choice.Attempt.RecordVersion(answer.Weights)
 	}
+	if answer.Leaving {
+		choice.Attempt.RecordLeaving()
+	}
 	if answer.NotRun && !answer.OtherTarget && !answer.OtherWeights {
 		choice.Attempt.RecordRefusal()
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -95,6 +95,8 @@
 	// RateLimit is the number of requests a second that the target takes from all daemons together; negative if it names
 	// none.
 	RateLimit float64
+	// Leaving is set if the target says that it is leaving.
+	Leaving bool
 }
 
 // Codec translates calls and answers to and from the HTTP headers of the platform.
