connector: a target whose window is full is not taken for unreachable

What callers saw: requests with long bodies failed with 502 while their target, which is sound, was silent for a second or two.

Cause: TCP_USER_TIMEOUT of 1.5 s also counts a window that stays full, though the target's host answers each probe of it.

Change: while a body of over 12 KiB is sent, the kernel's timeout is off, and the daemon asks the kernel whether retransmissions and probes go unanswered. Requests that can't go on elsewhere allow 3.5 s without any acknowledgement; others 1.5 s as before.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -30,6 +30,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -91,6 +92,9 @@
 	// Exclusive makes the request use a connection of its own, which is closed after the response. A late copy of the
 	// response to an earlier request cannot be taken for the response then, even if responses carry no identity.
 	Exclusive bool
+	// PeerTimeout is how long the target may leave sent bytes unacknowledged before the connection ends. A target that only
+	// reads and writes nothing acknowledges them. Default: DefaultPeerTimeout.
+	PeerTimeout time.Duration
 }
 
 // UnsentError is returned if no byte of the request was sent.
@@ -163,6 +167,11 @@
 	idleDeadline time.Time
 	// idleTimeout is the time from the release of the connection to idleDeadline.
 	idleTimeout time.Duration
+	// peerTimeout is the timeout that the kernel applies, and watch the watch of the current request; nil if there is none.
+	peerTimeout time.Duration
+	watch       *watch
+	// unreachable is set if the watch closed the connection.
+	unreachable atomic.Bool
 }
 
 // New returns a Connector without connections.
@@ -172,7 +181,7 @@
 	settings.MaxIdle = cmp.Or(settings.MaxIdle, DefaultMaxIdle)
 	return &Connector{
 		settings: settings,
-		dialer:   net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: setDeadPeerTimeouts},
+		dialer:   net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: setProbes},
 		idle:     make(map[netip.AddrPort][]*connection),
 	}
 }
@@ -199,13 +208,18 @@
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	if err := conn.setPeerTimeout(cmp.Or(request.PeerTimeout, DefaultPeerTimeout)); err != nil {
+		_ = conn.Close() // Nothing was sent on it.
+		return nil, &UnsentError{Cause: err}
+	}
 	cancelAfterFunc := context.AfterFunc(ctx, func() { _ = conn.Close() }) // Makes pending reads fail.
 	writeResult := conn.write(request.encode())
 	head, err := conn.readResponse(request)
 	if err != nil {
 		cancelAfterFunc()
+		conn.watch.stop()
 		_ = conn.Close() // The error of the response is returned instead.
-		return nil, &NoResponseError{Cause: cmp.Or(ctx.Err(), err)}
+		return nil, &NoResponseError{Cause: cmp.Or(ctx.Err(), conn.explain(err))}
 	}
 	response = &Response{
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
@@ -310,16 +324,27 @@
 		result <- err
 		return result
 	}
+	c.startWatch()
+	watch := c.watch
 	go func() {
 		_, err := c.Write(head)
 		if err == nil {
 			_, err = c.Write(body)
 		}
+		watch.setWritten()
 		result <- err
 	}()
 	return result
 }
 
+// explain returns the error of a read, or why the watch closed the connection.
+func (c *connection) explain(err error) error {
+	if c.unreachable.Load() {
+		return ErrPeerUnreachable
+	}
+	return err
+}
+
 // readResponse reads the header of the response. It skips informational (1xx) responses and responses to
 // other requests.
 func (c *connection) readResponse(request Request) (response *http.Response, err error) {
@@ -386,6 +411,9 @@
 		b.response.bodyComplete = true
 		return n, io.EOF
 	}
+	if err != nil && b.response.connection != nil {
+		err = b.response.connection.explain(err)
+	}
 	return n, err
 }
 
@@ -398,6 +426,8 @@
 		if r.connection == nil {
 			return
 		}
+		r.connection.watch.stop()
+		r.connection.watch = nil
 		if contextActive && r.bodyComplete && r.keepAlive && r.writeSucceeded() && r.connection.reader.Buffered() == 0 {
 			r.connector.release(r.connection)
 			return
--- a/connector/socket.go
+++ b/connector/socket.go
@@ -3,23 +3,23 @@
 import (
 	"errors"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 const (
-	// tcpUserTimeoutMS is how many milliseconds sent bytes may stay unacknowledged before the kernel closes
-	// the connection.
-	tcpUserTimeoutMS = 1500
-	// probeIdleSeconds, probeIntervalSeconds and probeCount set TCP keep-alive probes that detect an
-	// unreachable peer on an idle connection within three seconds.
+	// DefaultPeerTimeout is how long a target may leave sent bytes unacknowledged before its connection ends.
+	DefaultPeerTimeout = 1500 * time.Millisecond
+	// probeIdleSeconds, probeIntervalSeconds and probeCount set TCP keep-alive probes that detect an unreachable peer on an
+	// idle connection. The kernel ends the connection at the first probe after the peer timeout.
 	probeIdleSeconds     = 1
 	probeIntervalSeconds = 1
-	probeCount           = 2
+	probeCount           = 3
 )
 
-// setDeadPeerTimeouts sets socket options by which the kernel closes a connection to an unreachable peer.
-func setDeadPeerTimeouts(_, _ string, raw syscall.RawConn) (err error) {
+// setProbes sets socket options by which the kernel closes a connection to an unreachable peer.
+func setProbes(_, _ string, raw syscall.RawConn) (err error) {
 	controlErr := raw.Control(func(fd uintptr) {
 		socket := int(fd)
 		err = errors.Join(
@@ -27,31 +27,68 @@
 			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, probeIdleSeconds),
 			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, probeIntervalSeconds),
 			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount),
-			unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS),
 		)
 	})
 	return errors.Join(controlErr, err)
 }
 
+// setPeerTimeout sets the time for which sent bytes may stay unacknowledged before the kernel closes the connection. Zero
+// switches that off.
+func (c *connection) setPeerTimeout(timeout time.Duration) error {
+	if c.peerTimeout == timeout {
+		return nil
+	}
+	c.peerTimeout = timeout
+	return c.control(func(socket int) error {
+		return unix.SetsockoptInt(socket, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+}
+
+// sendState returns what the kernel knows of the bytes that were sent.
+func (c *connection) sendState() (state SendState, err error) {
+	err = c.control(func(socket int) error {
+		info, err := unix.GetsockoptTCPInfo(socket, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return err
+		}
+		state = SendState{
+			Outstanding: info.Unacked > 0 || info.Notsent_bytes > 0 || info.Probes > 0,
+			Unanswered:  info.Retransmits > 0 || info.Probes > 0,
+			SinceAck:    time.Duration(info.Last_ack_recv) * time.Millisecond,
+		}
+		return nil
+	})
+	return state, err
+}
+
+// control calls a function with the socket of the connection.
+func (c *connection) control(call func(socket int) error) (err error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = call(int(fd)) })
+	return errors.Join(controlErr, err)
+}
+
 // reusable reports whether an idle connection is open and has no unread bytes, neither in its buffer nor in the kernel.
 func (c *connection) reusable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if _, ok := c.Conn.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.control(func(socket int) error {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		_, _, err := unix.Recvfrom(socket, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		open = errors.Is(err, unix.EAGAIN)
-		return true
+		return nil
 	})
 	return err == nil && open
 }
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -32,6 +32,8 @@
 	LoadTime time.Duration
 	// RestartTime is how long the target is down after a crash.
 	RestartTime time.Duration
+	// ReceiveBuffer is the size of the receive buffer of each connection in bytes; zero leaves it to the system.
+	ReceiveBuffer int
 }
 
 // TargetFaults are the faults to inject into a Target. The zero value injects none.
@@ -86,7 +88,9 @@
 
 // NewTarget returns a target with weights of version 1 that does not listen yet.
 func NewTarget(settings TargetSettings) *Target {
-	return &Target{settings: settings, startedUnixMS: time.Now().UnixMilli(), loadedVersion: 1}
+	t := &Target{settings: settings, startedUnixMS: time.Now().UnixMilli(), loadedVersion: 1}
+	t.listener.ReceiveBuffer = settings.ReceiveBuffer
+	return t
 }
 
 // Listen listens on the address, serves the target until Close, and writes its entry to the
@@ -131,6 +135,9 @@
 	return nil
 }
 
+// Pause makes the target silent for a while. Then it goes on with what it was doing.
+func (t *Target) Pause(duration time.Duration) { t.listener.Pause(duration) }
+
 // Crash closes all connections, and lets a new incarnation of the target listen after TargetSettings.RestartTime.
 func (t *Target) Crash() {
 	t.mu.Lock()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -31,6 +31,11 @@
 // Listener is a listening socket with its HTTP server. The zero value does not listen. After
 // Stop, it can listen again.
 type Listener struct {
+	// ReceiveBuffer is the size of the receive buffer of each connection in bytes, and so of the window that it offers; zero
+	// leaves it to the system. It must not change after Start.
+	ReceiveBuffer int
+
+	pause   pause
 	mu      sync.Mutex
 	address netip.AddrPort
 	server  *http.Server
@@ -53,7 +58,7 @@
 	l.mu.Unlock()
 	l.workers.Go(func() {
 		// Serve returns once Stop closes the socket or the server.
-		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&pausedSocket{Listener: socket, pause: &l.pause, receiveBuffer: l.ReceiveBuffer}); !errors.Is(err, http.ErrServerClosed) {
 			_ = server.Close()
 		}
 	})
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,6 +30,7 @@
 		ctx, r.startTimer = timedCtx, timer
 	}
 	request := r.relayer.settings.Codec.Request(r.call, r.newAttempt(choice))
+	request.PeerTimeout = r.peerTimeout()
 	response, err := r.relayer.settings.Targets.Send(ctx, choice.Target.Address, request)
 	if err != nil {
 		return r.classifySendError(ctx, choice, err), choice
@@ -58,6 +59,18 @@
 	return r.forwardPlain(ctx, choice, response), choice
 }
 
+// patientPeerTimeout is the peer timeout of requests that cannot go on at another target. It allows for hosts that are
+// suspended for a second or two: the last retransmission before it comes after three seconds.
+const patientPeerTimeout = 3500 * time.Millisecond
+
+// peerTimeout returns how long the target may be unreachable. If the request can go on elsewhere, that is done soon.
+func (r *relayedRequest) peerTimeout() time.Duration {
+	if r.route.Retryable() {
+		return connector.DefaultPeerTimeout
+	}
+	return patientPeerTimeout
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the request was not run and never will be.
 func promisesNotRun(status int) bool {
 	switch status {
