relayer: a stream that breaks off late goes on at another target

What callers saw: a resumable stream that broke off after its objective was cut, although another target was free; one that broke off before its first event failed with 502 not_in_time. One that found no target for a moment was cut at once.

Cause: the limit of the expected time to the first event counted from the arrival also after a break.

A stream under way waits up to 2 s for a target.

Evidence: TestStreamThatBreaksOffLateGoesOn and TestStreamThatBrokeOffWaitsForTarget on: "aborted:true" after one attempt, and status 502; green with the change.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
 const (
@@ -26,6 +27,9 @@
 	// maxObjectiveRatio bounds the expected time to the first event with which a stream is still sent, as a multiple
 	// of the route's objective.
 	maxObjectiveRatio = 1.5
+	// maxResumeWait is how long a stream that broke off waits for a target, and resumeInterval the time between two choices.
+	maxResumeWait  = 2 * time.Second
+	resumeInterval = 100 * time.Millisecond
 )
 
 // relayedRequest is the state of one request from its arrival to its end.
@@ -46,6 +50,10 @@
 	attempts     int
 	runs         int
 	triedTargets []string
+	// brokenAt is when the last attempt ended without a whole answer, and waitingSince since when a stream that broke off waits
+	// for a target; zero if neither is so.
+	brokenAt     time.Time
+	waitingSince time.Time
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
 	// headWritten is set once the status and the headers of an answer were forwarded. head are the headers of that answer, and
@@ -115,28 +123,53 @@
 	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
 	defer cancel()
 	for {
-		choice, refusal := r.choose()
-		if refusal != nil {
-			r.finish(refusal)
-			return
-		}
-		endSpan := r.traceAttempt(ctx, choice)
-		result, attempted := r.attempt(ctx, choice)
-		endSpan(result)
-		if result == answered {
-			return
+		ended, refusal := r.tryTarget(ctx)
+		if !ended && refusal == nil {
+			refusal = r.admit() // The configuration may have changed meanwhile.
 		}
-		if refusal := r.decideRetry(ctx, result, attempted); refusal != nil {
+		if refusal != nil {
 			r.finish(refusal)
-			return
 		}
-		if refusal := r.admit(); refusal != nil { // The configuration may have changed meanwhile.
-			r.finish(refusal)
+		if ended || refusal != nil {
 			return
 		}
 	}
 }
 
+// tryTarget sends the request to one target. It reports whether the request has ended: with an answer, or with the returned
+// refusal.
+func (r *relayedRequest) tryTarget(ctx context.Context) (ended bool, refusal *Refusal) {
+	choice, refusal := r.choose()
+	if refusal != nil && r.awaitTarget(ctx) {
+		return false, nil
+	}
+	if refusal != nil {
+		return true, refusal
+	}
+	r.waitingSince = time.Time{}
+	endSpan := r.traceAttempt(ctx, choice)
+	result, attempted := r.attempt(ctx, choice)
+	endSpan(result)
+	if result == answered {
+		return true, nil
+	}
+	r.brokenAt = time.Now()
+	refusal = r.decideRetry(ctx, result, attempted)
+	return refusal != nil, refusal
+}
+
+// awaitTarget waits shortly for a target, if a part of an answer was forwarded: its caller can no longer be told to come
+// back. It returns false once the request has waited for maxResumeWait.
+func (r *relayedRequest) awaitTarget(ctx context.Context) bool {
+	if !r.headWritten {
+		return false
+	}
+	if r.waitingSince.IsZero() {
+		r.waitingSince = time.Now()
+	}
+	return time.Since(r.waitingSince) < maxResumeWait && waiter.Sleep(ctx, resumeInterval)
+}
+
 // admit checks the request against the newest configuration, and sets its route, account, service and
 // deadline. It returns a refusal if the request is not allowed.
 func (r *relayedRequest) admit() *Refusal {
@@ -203,12 +236,17 @@
 
 // firstEventLimit returns the longest expected time to the first event with which the request is still sent;
 // zero means no limit. Requests that are expected to begin later would lengthen the targets' queues, so that
-// further requests would miss the objective too.
+// further requests would miss the objective too. A request that may have run can't be refused any more, so its limit counts
+// from the end of the last attempt. Once an event was forwarded there is none.
 func (r *relayedRequest) firstEventLimit() time.Duration {
-	if r.route.CallKind != cataloger.CallStream || r.route.LatencyObjective <= 0 {
+	if r.route.CallKind != cataloger.CallStream || r.route.LatencyObjective <= 0 || r.headWritten {
 		return 0
 	}
-	elapsed := time.Since(r.call.ArrivedAt)
+	since := r.call.ArrivedAt
+	if r.runs > 0 {
+		since = r.brokenAt
+	}
+	elapsed := time.Since(since)
 	return max(time.Duration(maxObjectiveRatio*float64(r.route.LatencyObjective))-elapsed, minRetryAfter)
 }
 
