relayer: a request that may have run keeps its route

What callers saw: a stream that broke off at its target was cut, and an idempotent request failed with 502 no_route or no_target, if a configuration had dropped or moved their route meanwhile, though another target could have gone on.

Cause: before each further attempt a request was admitted anew as if it had just come.

Change: once it may have run, a request keeps its route, service and deadline. Its key is checked anew; account and cache namespace are those of the newest configuration. What hasn't run is admitted anew, as before. Admission has a file of its own.

--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -39,7 +39,9 @@
 	attemptTargets []string
 	resumeAfter    []string
 	remaining      []time.Duration
-	retryBudget    int
+	// accounts and namespaces are the accounts and the cache namespaces with which the attempts are sent.
+	accounts, namespaces []string
+	retryBudget          int
 	// strikes counts the strikes by cause, and completions the completed answers.
 	strikes     map[attributor.Cause]int
 	completions map[attributor.Cause]int
@@ -185,6 +187,8 @@
 	h.attemptTargets = append(h.attemptTargets, attempt.Target.ID)
 	h.resumeAfter = append(h.resumeAfter, attempt.LastEventID)
 	h.remaining = append(h.remaining, attempt.Remaining)
+	h.accounts = append(h.accounts, attempt.Account)
+	h.namespaces = append(h.namespaces, attempt.CacheNamespace)
 	return connector.Request{}
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -125,7 +125,7 @@
 	for {
 		ended, refusal := r.tryTarget(ctx)
 		if !ended && refusal == nil {
-			refusal = r.admit() // The configuration may have changed meanwhile.
+			refusal = r.readmit() // The configuration may have changed meanwhile.
 		}
 		if refusal != nil {
 			r.finish(refusal)
@@ -170,51 +170,6 @@
 	return time.Since(r.waitingSince) < maxResumeWait && waiter.Sleep(ctx, resumeInterval)
 }
 
-// admit checks the request against the newest configuration, and sets its route, account, service and
-// deadline. It returns a refusal if the request is not allowed.
-func (r *relayedRequest) admit() *Refusal {
-	settings := r.relayer.settings
-	catalog := settings.Configuration.Catalog()
-	if catalog == nil {
-		return unavailableHere(ReasonNoConfiguration, startupRetryAfter)
-	}
-	contactAge := settings.Configuration.ContactAge()
-	limits := settings.ContactAgeLimits()
-	stale := contactAge > limits.Denial
-	route, found := catalog.Match(r.call.Host, r.call.Path)
-	if !found && stale {
-		return unavailableHere(ReasonNoContact, contactRetryAfter)
-	}
-	if !found {
-		return denied(http.StatusNotFound, ReasonNoRoute)
-	}
-	r.account = nil
-	if catalog.RequiresKeys() && !route.Anonymous {
-		if contactAge > limits.KeyUse {
-			return unavailableHere(ReasonNoContact, contactRetryAfter)
-		}
-		account, known := catalog.Account(r.call.Key)
-		if !known && stale {
-			return unavailableHere(ReasonNoContact, contactRetryAfter)
-		}
-		if !known {
-			return denied(http.StatusUnauthorized, ReasonUnknownKey)
-		}
-		r.account = account
-	}
-	if limit := catalog.Limits().MaxBodyBytes; limit > 0 && len(r.call.Body) > limit {
-		return denied(http.StatusRequestEntityTooLarge, ReasonTooLarge)
-	}
-	r.route = route
-	r.cacheNamespace = catalog.CacheNamespace(r.account)
-	r.service = route.Service(r.call.ID)
-	r.deadline = r.call.ArrivedAt.Add(route.Timeout)
-	if timeout := r.call.Timeout; timeout > 0 && timeout < route.Timeout {
-		r.deadline = r.call.ArrivedAt.Add(timeout)
-	}
-	return r.admitCauses()
-}
-
 // choose returns a target that is expected to answer in time, or a refusal if there is none.
 func (r *relayedRequest) choose() (choice placer.Choice, refusal *Refusal) {
 	choice, err := r.relayer.settings.Placer.Choose(r.placerCall(), r.triedTargets)
