reserver: one budget of memory for the incomplete answers of all targets

Cause: each answer was bounded, their sum wasn't. An event without end was also searched from its beginning with each read.

Change: heads, events and buffered bodies of all targets count against one budget, a sixteenth of the process's memory in rilld front and 64 MB in rilld serve, beside 16 KB each. Heads are bounded at 64 KB.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -30,6 +30,7 @@
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
 	"github.com/rosemaryrill/rosemaryrill/upgrader"
 )
@@ -65,6 +66,9 @@
 	keyRevocationMargin = 600 * time.Millisecond
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the process memory.
 	memoryLimitRatio = 0.6
+	// answerMemoryRatio is the memory for incomplete answers of targets as a fraction of the process memory. Buffers that grow
+	// take a multiple of what they hold until the garbage is collected.
+	answerMemoryRatio = 1.0 / 16
 	// gcPercent is lower than Go's default of 100, which saves memory at the cost of CPU time.
 	gcPercent = 50
 	// presenceTTL is how long the entry of a daemon remains after its last renewal. Nothing depends on
@@ -90,13 +94,15 @@
 
 // Daemon is a running daemon on a hosting platform.
 type Daemon struct {
-	settings     Settings
-	hosted       atomic.Pointer[loader.Hosted]
-	logWriter    *observer.AsyncWriter
-	observer     *observer.Observer
-	logger       *slog.Logger
-	store        *platform.Store
-	connector    *connector.Connector
+	settings  Settings
+	hosted    atomic.Pointer[loader.Hosted]
+	logWriter *observer.AsyncWriter
+	observer  *observer.Observer
+	logger    *slog.Logger
+	store     *platform.Store
+	connector *connector.Connector
+	// memory is that for incomplete answers of targets.
+	memory       *reserver.Budget
 	view         *deploymentView
 	coordination coordination
 	edge         *edge
@@ -123,10 +129,11 @@
 		settings:  settings,
 		logWriter: observer.NewAsyncWriter(settings.LogOutput),
 		store:     platform.NewStore(settings.Platform[0]),
-		connector: connector.New(connector.Settings{}),
+		memory:    reserver.NewBudget(int(answerMemoryRatio * settings.Hosted.MemoryBytes)),
 		startTime: time.Now(),
 		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
+	d.connector = connector.New(connector.Settings{Memory: d.memory})
 	d.hosted.Store(&settings.Hosted)
 	if err := d.createObserver(ctx); err != nil {
 		return nil, err
@@ -241,7 +248,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Crashes: view.attributor,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Crashes: view.attributor, Memory: d.memory,
 		RetryBudget: newRetryBudgets(d.hosted.Load, d.broadcaster.PeerCount), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -45,11 +45,15 @@
 
 func (d *Daemon) newPoller() *poller.Poller[placer.CacheEvents] {
 	return poller.New(poller.Settings[placer.CacheEvents]{
-		Engines: platform.EngineClient{Connector: d.connector, Observer: d.view.placer}, Observer: d.view.placer, Assigned: d.isAssigned,
+		Engines: d.engineClient(), Observer: d.view.placer, Assigned: d.isAssigned,
 		EventWait: eventsPollTimeout, EventInterval: eventsPollInterval, Logger: d.loggerFor("poller"),
 	})
 }
 
+func (d *Daemon) engineClient() platform.EngineClient {
+	return platform.EngineClient{Connector: d.connector, Observer: d.view.placer, Memory: d.memory}
+}
+
 // applyTargets passes the targets to the placer and the engines among them to the poller.
 func (d *Daemon) applyTargets(targets []placer.Target) {
 	d.view.placer.SetTargets(targets)
--- a/assembler/coordination.go
+++ b/assembler/coordination.go
@@ -6,7 +6,6 @@
 	"github.com/rosemaryrill/rosemaryrill/clocker"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/leaser"
-	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
 	"github.com/rosemaryrill/rosemaryrill/upgrader"
@@ -35,7 +34,7 @@
 		OnDemand: true, OnAcquired: func() { d.coordination.upgrader.Wake() },
 	})
 	return coordination{presenceLease: presence, upgraderLease: lease, upgrader: upgrader.New(upgrader.Settings{
-		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: platform.EngineClient{Connector: d.connector, Observer: d.view.placer},
+		Name: d.settings.Name, Store: d.store, Lease: lease, Engines: d.engineClient(),
 		Placer: d.view.placer, Logger: d.loggerFor("upgrader"), TakeOverDelay: d.settings.Hosted.LeaseTime, LeaseTTL: ttl,
 		OnPlanChange: func() { d.broadcaster.SendNow() },
 	})}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -35,6 +35,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Error is the class of all errors of this package.
@@ -60,7 +62,7 @@
 	maxMismatchedResponses = 3
 	// maxHeadBytes limits what is read from a connection until the header of the response is complete, including skipped
 	// responses without a body. A target in trouble may send bytes without end.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 	// maxMismatchedBytes limits the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 )
@@ -74,6 +76,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle limits the number of idle connections to one target. Default: DefaultMaxIdle.
 	MaxIdle int
+	// Memory bounds the memory of incomplete headers. Default: no bound of all together.
+	Memory *reserver.Budget
 }
 
 // Request is one request to a target.
@@ -258,13 +262,15 @@
 	if err != nil {
 		return nil, err
 	}
-	limiter := &headLimiter{reader: opened}
+	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address}, nil
 }
 
 // headLimiter limits what is read until a header is complete. The size of a body is limited by whoever reads it.
 type headLimiter struct {
 	reader io.Reader
+	// memory reads from reader within the budget for incomplete headers.
+	memory *reserver.Reader
 	// inHead is set while a header is read, of which left bytes may still come.
 	inHead bool
 	left   int
@@ -284,7 +290,7 @@
 	if l.left <= 0 {
 		return 0, &HeadTooLargeError{}
 	}
-	n, err = l.reader.Read(p[:min(len(p), l.left)])
+	n, err = l.memory.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	return n, err
 }
@@ -349,6 +355,7 @@
 // other requests.
 func (c *connection) readResponse(request Request) (response *http.Response, err error) {
 	c.limiter.left = maxHeadBytes
+	defer c.limiter.memory.Hold(0)
 	for range maxMismatchedResponses + 1 {
 		c.limiter.inHead = true
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -47,7 +46,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	limit := max(call.bodyLimit, c.settings.MaxBodyBytes)
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err := c.readBody(response, limit)
 	if err != nil {
 		return a.brokenError(err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +34,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryrill/rosemaryrill/dialer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Error is the class of all errors of this package.
@@ -48,8 +51,10 @@
 	DefaultMaxBodyBytes     = 16 << 20
 	DefaultMaxImportBytes   = 256 << 20
 	DefaultMaxEventBytes    = 1 << 20
-	maxHeaderBytes          = 64 << 10
-	keepAliveInterval       = 5 * time.Second
+	// DefaultAnswerBytes is the memory of all incomplete answers together.
+	DefaultAnswerBytes = 64 << 20
+	maxHeaderBytes     = 64 << 10
+	keepAliveInterval  = 5 * time.Second
 )
 
 // Settings configure a Client. Zero values are replaced by the defaults.
@@ -76,6 +81,8 @@
 	MaxBodyBytes   int64
 	MaxImportBytes int64
 	MaxEventBytes  int
+	// Memory bounds the memory of incomplete answers together. Default: a budget of DefaultAnswerBytes for the client.
+	Memory *reserver.Budget
 }
 
 func (s Settings) withDefaults() Settings {
@@ -88,6 +95,9 @@
 	s.MaxBodyBytes = cmp.Or(s.MaxBodyBytes, DefaultMaxBodyBytes)
 	s.MaxImportBytes = cmp.Or(s.MaxImportBytes, DefaultMaxImportBytes)
 	s.MaxEventBytes = cmp.Or(s.MaxEventBytes, DefaultMaxEventBytes)
+	if s.Memory == nil {
+		s.Memory = reserver.NewBudget(DefaultAnswerBytes)
+	}
 	return s
 }
 
@@ -149,6 +159,13 @@
 	}
 }
 
+// readBody reads the body of a response, up to a number of bytes.
+func (c *Client) readBody(response *http.Response, limit int64) (content []byte, err error) {
+	body := c.settings.Memory.Reader(response.Body)
+	defer func() { err = errors.Join(err, body.Close()) }()
+	return io.ReadAll(io.LimitReader(body, limit))
+}
+
 // newTransport returns a transport whose connections count the bytes written. With singleUse,
 // each request opens a new connection and closes it afterwards.
 func newTransport(settings Settings, singleUse bool) *http.Transport {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 )
@@ -94,7 +93,7 @@
 		return ServiceAnswer{}, a.refusedError(response.StatusCode, "not_run")
 	}
 	limit := a.client.settings.MaxBodyBytes
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := a.client.readBody(response, limit+1)
 	if err != nil {
 		return ServiceAnswer{}, a.brokenError(err)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Event is one event of a stream.
@@ -28,6 +30,10 @@
 	response *http.Response
 	head     Head
 	reader   *bufio.Scanner
+	// memory reads what reader scans, within the budget for incomplete answers. largest is the length of the longest line,
+	// which reader keeps room for.
+	memory  *reserver.Reader
+	largest int
 	// nextTimeout bounds the wait for the next event. It is longer for the first event, which
 	// comes after the prefill of the prompt.
 	nextTimeout  time.Duration
@@ -55,10 +61,11 @@
 )
 
 func newStream(a *attempt, response *http.Response, head Head, settings Settings) *Stream {
-	reader := bufio.NewScanner(response.Body)
+	memory := settings.Memory.Reader(response.Body)
+	reader := bufio.NewScanner(memory)
 	reader.Buffer(make([]byte, 0, initialScannerBytes), settings.MaxEventBytes)
 	return &Stream{
-		attempt: a, response: response, head: head, reader: reader,
+		attempt: a, response: response, head: head, reader: reader, memory: memory,
 		nextTimeout: settings.HeaderTimeout, eventTimeout: settings.EventTimeout,
 	}
 }
@@ -70,7 +77,7 @@
 // target until it is cancelled.
 func (s *Stream) Close() (err error) {
 	s.attempt.cancel(nil)
-	return s.response.Body.Close()
+	return errors.Join(s.memory.Close(), s.response.Body.Close())
 }
 
 // Next waits for the next event. It returns io.EOF after the event with the finish reason, and a
@@ -83,6 +90,7 @@
 	timer := time.AfterFunc(s.nextTimeout, func() { s.attempt.cancel(timeout) })
 	defer timer.Stop()
 	event, err = s.read()
+	s.memory.Hold(s.largest)
 	s.nextTimeout = s.eventTimeout
 	if err != nil {
 		_ = s.Close()
@@ -91,6 +99,7 @@
 	s.finished = event.Finish != ""
 	if s.finished {
 		s.drain()
+		_ = s.memory.Close() // It returns no error.
 	}
 	return event, nil
 }
@@ -99,6 +108,7 @@
 func (s *Stream) read() (event Event, err error) {
 	position := -1
 	for s.reader.Scan() {
+		s.largest = max(s.largest, len(s.reader.Bytes()))
 		name, value, _ := bytes.Cut(s.reader.Bytes(), []byte{':'})
 		value = bytes.TrimPrefix(value, []byte{' '})
 		switch string(name) {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // maxBufferedBody is the size up to which the body of an answer that is not a stream is read completely before
@@ -191,12 +192,15 @@
 }
 
 // forwardPlain forwards an answer that is not an event stream. A body of up to maxBufferedBody bytes is
-// read completely first.
+// read completely first, if there is memory for it.
 func (r *relayedRequest) forwardPlain(ctx context.Context, choice placer.Choice, response *connector.Response) attemptResult {
 	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, response.Body, maxBufferedBody)
+	body := r.relayer.settings.Memory.Reader(response.Body)
+	defer func() { _ = body.Close() }() // It returns no error.
+	_, err := io.CopyN(&buffer, body, maxBufferedBody)
 	complete := errors.Is(err, io.EOF)
-	if err != nil && !complete {
+	var exceeded *reserver.ExceededError
+	if err != nil && !complete && !errors.As(err, &exceeded) {
 		return r.classifyBodyError(ctx, choice, err)
 	}
 	r.recordFirstEvent(choice)
@@ -209,6 +213,8 @@
 		return r.abortOnWriteError(err)
 	}
 	if !complete {
+		buffer = bytes.Buffer{} // Its memory is free again.
+		body.Hold(0)
 		if _, err := io.Copy(r.writer, response.Body); err != nil {
 			return r.classifyBodyError(ctx, choice, err)
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,6 +25,7 @@
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Call is a caller's request with its complete body.
@@ -156,8 +157,10 @@
 	Targets       TargetClient
 	Codec         Codec
 	RetryBudget   RetryBudget
-	Crashes       CrashAttributor
-	Logger        *slog.Logger
+	// Memory bounds the memory of incomplete answers. Default: no bound of all together.
+	Memory  *reserver.Budget
+	Crashes CrashAttributor
+	Logger  *slog.Logger
 	// Tracer creates a span for each request and for each of its attempts.
 	Tracer trace.Tracer
 	// ContactAgeLimits is called for each request, since the limits may change while the daemon runs.
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -30,16 +30,16 @@
 		return notResumed
 	}
 	flusher := http.NewResponseController(r.writer)
+	body := r.relayer.settings.Memory.Reader(response.Body)
+	defer func() { _ = body.Close() }() // It returns no error.
 	pending, chunk, resumed := make([]byte, 0, streamBuffer), make([]byte, streamBuffer), false
 	for {
-		n, readErr := response.Body.Read(chunk)
+		n, readErr := body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
-		complete := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
-		if complete < len(eventEnd) {
-			complete = 0
-		}
+		complete := completeEvents(pending, n)
 		events, foreign := r.newEvents(pending[:complete])
-		pending = append(pending[:0], pending[complete:]...)
+		pending = dropForwarded(pending, complete)
+		body.Hold(len(pending))
 		if len(events) > 0 {
 			resumed = true
 			r.recordFirstEvent(choice)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -19,6 +19,8 @@
 	streamBuffer = 4 << 10
 	// maxEventBytes bounds the size of an incomplete event that is buffered.
 	maxEventBytes = 1 << 20
+	// maxKeptBuffer is the size up to which a stream keeps its buffer for further events.
+	maxKeptBuffer = 4 * streamBuffer
 )
 
 var eventEnd = []byte("\n\n")
@@ -30,21 +32,24 @@
 // be resumed at another target after the last forwarded one.
 func (r *relayedRequest) forwardStream(ctx context.Context, choice placer.Choice, response *connector.Response) attemptResult {
 	flusher := http.NewResponseController(r.writer)
+	body := r.relayer.settings.Memory.Reader(response.Body)
+	defer func() { _ = body.Close() }() // It returns no error.
 	pending := make([]byte, 0, streamBuffer)
 	chunk := make([]byte, streamBuffer)
 	for {
-		n, err := response.Body.Read(chunk)
+		n, err := body.Read(chunk)
 		pending = append(pending, chunk[:n]...)
-		completeBytes := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
+		completeBytes := completeEvents(pending, n)
 		if errors.Is(err, io.EOF) && response.Delimited {
 			completeBytes = len(pending)
 		}
-		if completeBytes >= len(eventEnd) {
+		if completeBytes > 0 {
 			r.recordFirstEvent(choice)
 			if writeErr := r.forwardEvents(response, pending[:completeBytes], flusher); writeErr != nil {
 				return r.abortOnWriteError(writeErr)
 			}
-			pending = append(pending[:0], pending[completeBytes:]...)
+			pending = dropForwarded(pending, completeBytes)
+			body.Hold(len(pending))
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !response.Delimited && (len(pending) > 0 || r.firstEventAt.IsZero()):
@@ -59,6 +64,25 @@
 	}
 }
 
+// completeEvents returns the length of the complete events in a buffer. Only the last bytes of it are new, so that an event
+// without end is not searched again and again.
+func completeEvents(pending []byte, newBytes int) int {
+	from := max(len(pending)-newBytes-len(eventEnd)+1, 0)
+	end := bytes.LastIndex(pending[from:], eventEnd)
+	if end < 0 {
+		return 0
+	}
+	return from + end + len(eventEnd)
+}
+
+// dropForwarded returns what follows the first bytes. It drops a large buffer, of which little is needed again.
+func dropForwarded(pending []byte, forwarded int) []byte {
+	if cap(pending) > maxKeptBuffer {
+		return append(make([]byte, 0, streamBuffer), pending[forwarded:]...)
+	}
+	return append(pending[:0], pending[forwarded:]...)
+}
+
 // endStream finishes a stream that the target ended. It writes the head if there was no event.
 func (r *relayedRequest) endStream(response *connector.Response) attemptResult {
 	if !r.headWritten {
