assembler: a request whose body ends late in a stop is refused

What callers saw (a report of other operators): in a planned stop, requests that came late were passed on and cut at its end.

Cause: whether a request comes late was decided when its head was read; one with a slow body was passed on whenever that ended.

Change: decided again when the body is complete.

--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -141,6 +141,10 @@
 		e.refuseBody(w, err)
 		return
 	}
+	if e.refuseNew.Load() { // The body took its time. What is sent on now may be cut at the end of the stop.
+		platform.Codec{}.Refuse(w, relayer.Stopping())
+		return
+	}
 	call, err := platform.DecodeCall(r, body, arrived)
 	if err != nil {
 		e.daemon.logger.Info("malformed request refused", "error", err)
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -40,6 +40,8 @@
 	version  int64
 	// openAccounts are the names of the accounts that are not isolated.
 	openAccounts []string
+	// routeTimeout is the timeout of all routes.
+	routeTimeout time.Duration
 	client       *http.Client
 }
 
@@ -68,7 +70,7 @@
 
 func newFleet(t *testing.T, daemons int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: hostingemulator.NewStore(), openAccounts: []string{"account-2"}, client: &http.Client{Transport: &http.Transport{}}}
+	f := &fleet{t: t, store: hostingemulator.NewStore(), openAccounts: []string{"account-2"}, routeTimeout: 3 * time.Second, client: &http.Client{Transport: &http.Transport{}}}
 	listen := netip.MustParseAddrPort(loopback)
 	if err := f.store.Listen(listen); err != nil {
 		t.Fatal(err)
@@ -104,7 +106,7 @@
 	f.version += 3
 	route := func(name, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": 3000,
+			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": f.routeTimeout.Milliseconds(),
 			"targetLatencyMs": 1000, "targetGapMs": 500, "maxAttempts": 2, "priority": 0, "sticky": service == "engines", "resumable": resumable,
 		}
 	}
