server: calls that come late in a stop are refused as not run

What callers saw: while rilld serve drained, it went on taking calls. Those that were open at the end of the drain were cancelled, and answered as may_have_run.

Cause: a drain waited for calls to end and took new ones meanwhile.

Change: once the leave notice is over, a call whose body was not read yet is refused with leaving, as not run, with Retry-After.

--- a/server/body.go
+++ b/server/body.go
@@ -13,7 +13,7 @@
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 )
 
-// readBody reads a body within MaxBodyBytes and BodyTimeout. If reading fails, the read deadline
+// readBody reads a body within MaxBodyBytes and BodyTimeout. While the daemon stops, it refuses the request instead. If reading fails, the read deadline
 // stays on the connection, since the HTTP server goes on reading the rest of the body.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, refusal *refuser.Refusal) {
 	control := http.NewResponseController(w)
@@ -27,6 +27,9 @@
 	case err != nil && isShutDown(r.Context()):
 		w.Header().Set("Connection", "close")
 		return nil, refuser.New(refuser.CodeLeaving, "the daemon stopped before the body had arrived").WithCause(err)
+	case err == nil && s.draining.Load():
+		_ = control.SetReadDeadline(time.Time{})
+		return nil, refuser.New(refuser.CodeLeaving, "the daemon is stopping").WithRetryAfter(leavingRetryAfter)
 	case err == nil:
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
@@ -40,6 +43,9 @@
 	return nil, refuser.New(refuser.CodeBadRequest, "the body could not be read").WithCause(err)
 }
 
+// leavingRetryAfter is short, since the retry goes to another daemon.
+const leavingRetryAfter = 100 * time.Millisecond
+
 // interruptAtShutdown ends the reading of a body when the daemon cancels its open requests. The caller calls stop when it
 // has read the body, which waits for an interruption that has begun.
 func interruptAtShutdown(ctx context.Context, control *http.ResponseController) (stop func()) {
--- a/server/server.go
+++ b/server/server.go
@@ -146,6 +146,8 @@
 	http       *http.Server
 	propagator propagation.TextMapPropagator
 	leaving    atomic.Bool
+	// draining is set once Shutdown refuses further calls.
+	draining atomic.Bool
 	// drainer tracks the connections. It cancels all open requests with errShutdown when the context of Shutdown ends or
 	// on Close.
 	drainer      *drainer.Drainer
@@ -228,12 +230,14 @@
 	s.drainer.Leave()
 }
 
-// Shutdown serves all requests that have arrived, also on connections that are still in the listener's queue, closes
-// connections between requests, and stops accepting once no request is open. When the context ends, it cancels the
+// Shutdown answers all requests that have arrived, also on connections that are still in the listener's queue, closes
+// connections between requests, and stops accepting once no request is open. Calls that are open are served. Those whose body
+// was not read yet are refused as not run, since they might not end in time. When the context ends, Shutdown cancels the
 // requests that are still open; their callers receive a refusal or, in a stream that has started, an error event.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer Error.WrapP(&err)
 	s.Leave()
+	s.draining.Store(true)
 	s.drainer.Drain(ctx)
 	s.awaitCancelled()
 	return s.drainer.Close()
--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -303,3 +303,35 @@
 		}
 	}
 }
+
+// Guards against calls that come late in a stop, are passed on and cancelled at its end (LOST), among them such as may not be
+// repeated: they are refused as not run, also if only the end of their body comes late.
+func TestShutdownRefusesLateCalls(t *testing.T) {
+	const head = "POST /services/s/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + accountKey + "\r\nContent-Length: 5\r\n\r\n"
+	listener := listen(t)
+	s := &scriptedBackend{release: make(chan struct{})}
+	srv := startOn(t, s, listener, nil)
+	open, halfway := dial(t, listener, nil), dial(t, listener, nil)
+	open.send(t, head+"wheel")
+	halfway.send(t, head+"wh")
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error)
+	go func() { stopped <- shutDown(srv, time.Second) }()
+	time.Sleep(200 * time.Millisecond)
+	halfway.send(t, "eel")
+	late := map[string]*kept{"new connection": dial(t, listener, nil), "body that was under way": halfway}
+	for name, k := range late {
+		if k != halfway {
+			k.send(t, head+"wheel")
+		}
+		if body, err := k.answer(); err != nil || !strings.Contains(body, `"code":"leaving"`) || !strings.Contains(body, "not_run") {
+			t.Errorf("%s: answer %q, %v", name, body, err)
+		}
+	}
+	if body, err := open.answer(); err != nil || !strings.Contains(body, "may_have_run") {
+		t.Errorf("the call that was open: answer %q, %v", body, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
