streamer: an attempt at a silent engine is given up only for another one

What callers saw: with one engine that could answer, a stream ended with an error event, no_target, when the engine, which is sound, was silent for two seconds.

Cause: an attempt at an engine without progress for 1.6 s was cancelled before another target was looked for.

Change: it is cancelled if another target can take the request and the retry budget covers it, or once the engine has been stalled for 4 s.

--- a/completer/chooser.go
+++ b/completer/chooser.go
@@ -110,6 +110,15 @@
 	}, nil
 }
 
+// HasAlternative implements streamer.AlternativeFinder.
+func (c *chooser) HasAlternative(tried []string) bool {
+	c.mu.Lock()
+	weights := c.answerWeights
+	c.mu.Unlock()
+	_, _, err := c.plan.Route(tried, weights, "")
+	return err == nil
+}
+
 // selectTarget chooses a target where the limits and the quarantine admit the call. If the
 // quarantine has pinned the call to a target because a copy runs there, only that target is
 // chosen. If that target was tried already or accepts no calls, the copy is about to end, and the
--- a/streamer/attempt.go
+++ b/streamer/attempt.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/rosemaryrill/rosemaryrill/forwarder"
+	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
 const tracerName = "github.com/rosemaryrill/rosemaryrill/streamer"
@@ -39,6 +40,8 @@
 	// by checkHead; such an attempt may be resumed although its open failed.
 	openErr      error
 	headVerified bool
+	// hasAlternative reports whether another target could take the request now.
+	hasAlternative func() bool
 	// lastAllowed reports whether this attempt reaches MaxAttempts, so that no other may follow.
 	lastAllowed bool
 	// idleResumes counts the resumes since the last new token.
@@ -108,7 +111,8 @@
 	a := &attempt{
 		streamer: r.streamer, target: target, weights: target.Weights, runID: runID,
 		ctx: ctx, cancel: cancel, span: span, openDone: make(chan struct{}),
-		lastAllowed: len(r.attempts)+1 >= r.streamer.settings.MaxAttempts,
+		hasAlternative: r.alternativeTo(target),
+		lastAllowed:    len(r.attempts)+1 >= r.streamer.settings.MaxAttempts,
 	}
 	a.info = Attempt{
 		Target: target.Name, RunID: runID, Sent: true, Started: time.Now(),
@@ -122,22 +126,75 @@
 	return a
 }
 
+// alternativeTo returns a function that reports whether a target other than this one and those of the earlier attempts could
+// take the request.
+func (r *requestState) alternativeTo(target Target) func() bool {
+	finder, tells := r.chooser.(AlternativeFinder)
+	if !tells {
+		return func() bool { return true }
+	}
+	tried := []string{target.Name}
+	for _, earlier := range r.attempts {
+		tried = append(tried, earlier.target.Name)
+	}
+	return func() bool { return finder.HasAlternative(tried) }
+}
+
+const (
+	// stallCheckInterval is the time between two checks whether an attempt can leave a target that makes no progress.
+	stallCheckInterval = 250 * time.Millisecond
+	// maxStall is how long an attempt that cannot leave its target waits for progress. Sound targets may be silent for a
+	// second or two.
+	maxStall = 4 * time.Second
+)
+
 // cancelOnStall starts a goroutine that cancels the attempt when its target is reported as
-// stalled.
+// stalled and the request can go on elsewhere, or when it has been stalled for maxStall.
 func (a *attempt) cancelOnStall() {
 	if a.streamer.settings.StallDetector == nil {
 		return
 	}
-	stalled := a.streamer.settings.StallDetector.Stalled(a.target.Name)
 	a.streamer.workers.Go(func() {
-		select {
-		case <-stalled:
-			a.cancel(&StalledError{Target: a.target.Name})
-		case <-a.ctx.Done():
+		for a.awaitStall() {
+			stalledAt := time.Now()
+			for a.isStalled() {
+				if a.canLeave() || time.Since(stalledAt) >= maxStall {
+					a.cancel(&StalledError{Target: a.target.Name})
+					return
+				}
+				if !waiter.Sleep(a.ctx, stallCheckInterval) {
+					return
+				}
+			}
 		}
 	})
 }
 
+// awaitStall waits until the target is reported as stalled. It returns false if the attempt ends before.
+func (a *attempt) awaitStall() bool {
+	select {
+	case <-a.streamer.settings.StallDetector.Stalled(a.target.Name):
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+// isStalled reports whether the target is reported as stalled now.
+func (a *attempt) isStalled() bool {
+	select {
+	case <-a.streamer.settings.StallDetector.Stalled(a.target.Name):
+		return true
+	default:
+		return false
+	}
+}
+
+// canLeave reports whether the request could go on elsewhere if the attempt ended now.
+func (a *attempt) canLeave() bool {
+	return !a.lastAllowed && a.streamer.retryBudget.covers(attemptCost) && a.hasAlternative()
+}
+
 func (r *requestState) modelCall(a *attempt) forwarder.ModelCall {
 	call := forwarder.ModelCall{
 		RunID: a.runID, Account: r.request.Account, Model: r.request.Model, Weights: a.weights,
--- a/streamer/budget.go
+++ b/streamer/budget.go
@@ -29,6 +29,13 @@
 	b.available = min(b.burst, b.available+b.ratio)
 }
 
+// covers reports whether the budget covers the cost now.
+func (b *retryBudget) covers(cost float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available >= cost
+}
+
 // tryWithdraw withdraws the cost if the budget covers it, and reports whether it did.
 func (b *retryBudget) tryWithdraw(cost float64) bool {
 	b.mu.Lock()
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -86,6 +86,15 @@
 	Choose(ctx context.Context, tried []Attempt) (target Target, err error)
 }
 
+// AlternativeFinder is a TargetChooser that tells whether another target could take a request. An attempt at a target that
+// makes no progress is given up only for another one: a sound target may be silent for a while. With a TargetChooser that
+// doesn't tell, it is given up at once.
+type AlternativeFinder interface {
+	// HasAlternative reports whether a target other than the named ones could take the request now. It may be called from
+	// any goroutine.
+	HasAlternative(tried []string) bool
+}
+
 // Head describes the source of the answer and is passed to the sink before the first event. A
 // forwarder.Head describes one run; a Head describes the attempt whose event is delivered first, and
 // names its target.
