connector: idle connections to targets that are gone are closed

Cause: an idle connection's deadline was looked at by its next user alone.

Change: whoever returns a connection closes, once a second at most, all idle ones whose deadline has passed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,8 @@
 	// idleMargin is subtracted from the timeout in the target's Keep-Alive header, so that no request is written
 	// while the target closes the connection.
 	idleMargin = 700 * time.Millisecond
+	// sweepInterval is the least time between two searches for idle connections that are not reused any more.
+	sweepInterval = time.Second
 	// maxInlineBytes is the largest body that is written before the response is read. Writing a larger
 	// one first could block forever on a target that responds without reading it.
 	maxInlineBytes  = 12 << 10
@@ -155,9 +158,11 @@
 	settings Settings
 	dialer   net.Dialer
 
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*connection
-	closed bool
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*connection
+	// sweptAt is when idle connections that are not reused any more were last closed.
+	sweptAt time.Time
+	closed  bool
 }
 
 // connection is a persistent connection to the target at address.
@@ -317,8 +322,30 @@
 		_ = conn.Close() // No request is open on it, so the error does not matter.
 		return
 	}
-	conn.idleDeadline = time.Now().Add(conn.idleTimeout)
+	now := time.Now()
+	conn.idleDeadline = now.Add(conn.idleTimeout)
 	c.idle[conn.address] = append(idle, conn)
+	if now.Sub(c.sweptAt) >= sweepInterval {
+		c.sweptAt = now
+		c.closeExpired(now)
+	}
+}
+
+// closeExpired closes the idle connections that are not reused any more. Those to targets that are gone would otherwise keep
+// their descriptors. The caller holds mu.
+func (c *Connector) closeExpired(now time.Time) {
+	for address, idle := range c.idle {
+		kept := slices.DeleteFunc(idle, func(conn *connection) bool {
+			expired := !now.Before(conn.idleDeadline)
+			if expired {
+				_ = conn.Close() // No request is open on it, so the error does not matter.
+			}
+			return expired
+		})
+		if c.idle[address] = kept; len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
 }
 
 // write sends the request. A request with a large body is written in a goroutine, so that the caller can read
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -24,6 +24,8 @@
 	address     netip.AddrPort
 	requests    atomic.Int64
 	connections atomic.Int64
+	// open counts the connections that have not ended.
+	open atomic.Int64
 }
 
 func newScriptedTarget(t *testing.T, respond respondFunc) *scriptedTarget {
@@ -48,6 +50,8 @@
 }
 
 func (s *scriptedTarget) serve(conn net.Conn, respond respondFunc) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
