assembler: the test of a leaving target waits where no other can serve

TestTargetThatSaysItIsLeavingGetsNoNewRequests failed once in a run of the package, and in 2 of 42 runs by itself: "condition not met within 10s: requests to the next incarnation". Traced with the daemons' logs: all daemons knew the new incarnation as ready within 2 ms of its entry, and sent their requests to the engines that held the prompt's part, as the placement is meant to. Now the other targets are drained once the new incarnation is known, so that it has to be used. Green in 25 of 25 runs.

--- a/assembler/leaving_test.go
+++ b/assembler/leaving_test.go
@@ -14,6 +14,8 @@
 	heedTime = time.Second
 	// leavingTime is how long a target goes on serving while it says that it is leaving.
 	leavingTime = 3 * time.Second
+	// restartTime is the time after a crash in which a target starts anew and the daemons learn of it.
+	restartTime = time.Second
 )
 
 // runsBetween counts the runs from one time to another.
@@ -52,6 +54,10 @@
 			ended := time.Now()
 			leaver.SetFaults(hostingemulator.TargetFaults{})
 			leaver.Crash()
+			time.Sleep(restartTime)
+			for _, other := range c.targets(f)[1:] {
+				other.Drain() // Otherwise prompts might all go to where they are cached.
+			}
 			f.await("requests to the next incarnation", func() bool { return runsBetween(leaver, ended, time.Now()) > 5 })
 			sent, served := stop()
 			if before := runsBetween(leaver, said.Add(-time.Second), said); before == 0 {
