connector, relayer: an answer that doesn't show whose it is reaches no caller

Cause: polls for cache events, whose answers bear no id, shared connections with callers' requests; an answer without id and mark was taken for one's own, and a success was passed on without its mark.

On a used connection an answer that names no request is skipped and the connection not used again; on a new one it ends the attempt, as does a success without the mark. A late copy of a poll's answer isn't observed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -96,6 +96,12 @@
 	// MatchesResponse reports whether a response header belongs to this request. If it is nil, every
 	// response is accepted.
 	MatchesResponse func(http.Header) bool
+	// NamesRequest reports whether a response header names the request that it answers. One that doesn't is skipped on a
+	// connection that was used before, since it may be a late copy of an earlier response. If it is nil, none has to.
+	NamesRequest func(http.Header) bool
+	// Separate makes the request use connections that only other separate requests use. Late copies of responses that name no
+	// request then never reach requests of callers.
+	Separate bool
 	// Exclusive makes the request use a connection of its own, which is closed after the response. A late copy of the
 	// response to an earlier request cannot be taken for the response then, even if responses carry no identity.
 	Exclusive bool
@@ -159,19 +165,27 @@
 	dialer   net.Dialer
 
 	mu   sync.Mutex
-	idle map[netip.AddrPort][]*connection
+	idle map[poolKey][]*connection
 	// sweptAt is when idle connections that are not reused any more were last closed.
 	sweptAt time.Time
 	closed  bool
 }
 
-// connection is a persistent connection to the target at address.
+// poolKey identifies the connections that may serve the same requests.
+type poolKey struct {
+	address  netip.AddrPort
+	separate bool
+}
+
+// connection is a persistent connection to a target.
 type connection struct {
 	net.Conn
 	// reader buffers what limiter lets through.
 	reader  *bufio.Reader
 	limiter *headLimiter
-	address netip.AddrPort
+	pool    poolKey
+	// used is set once a request was answered on the connection, and suspect if a response on it named no request.
+	used, suspect bool
 	// idleDeadline is the time from which an idle connection is not reused, since the target may close it.
 	idleDeadline time.Time
 	// idleTimeout is the time from the release of the connection to idleDeadline.
@@ -191,7 +205,7 @@
 	return &Connector{
 		settings: settings,
 		dialer:   net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: setProbes},
-		idle:     make(map[netip.AddrPort][]*connection),
+		idle:     make(map[poolKey][]*connection),
 	}
 }
 
@@ -213,7 +227,7 @@
 // closed, so that the target can cancel the request.
 func (c *Connector) Send(ctx context.Context, address netip.AddrPort, request Request) (response *Response, err error) {
 	defer Error.WrapP(&err)
-	conn, err := c.acquire(ctx, address, request.Exclusive)
+	conn, err := c.acquire(ctx, poolKey{address: address, separate: request.Separate}, request.Exclusive)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
@@ -234,7 +248,7 @@
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
 		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
 		connector: c, connection: conn, writeResult: writeResult, cancelAfterFunc: cancelAfterFunc,
-		keepAlive: !head.Close && !request.Exclusive,
+		keepAlive: !head.Close && !request.Exclusive && !conn.suspect,
 	}
 	response.Body = &bodyReader{response: response}
 	conn.idleTimeout = parseIdleTimeout(head.Header, c.settings.IdleTimeout)
@@ -252,9 +266,9 @@
 }
 
 // acquire returns a reusable idle connection unless fresh is set, or else a new one.
-func (c *Connector) acquire(ctx context.Context, address netip.AddrPort, fresh bool) (conn *connection, err error) {
+func (c *Connector) acquire(ctx context.Context, pool poolKey, fresh bool) (conn *connection, err error) {
 	for !fresh {
-		conn := c.popIdle(address)
+		conn := c.popIdle(pool)
 		if conn == nil {
 			break
 		}
@@ -263,12 +277,12 @@
 		}
 		_ = conn.Close() // No request is open on it, so the error does not matter.
 	}
-	opened, err := c.dialer.DialContext(ctx, "tcp", address.String())
+	opened, err := c.dialer.DialContext(ctx, "tcp", pool.address.String())
 	if err != nil {
 		return nil, err
 	}
 	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, address: address}, nil
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool}, nil
 }
 
 // headLimiter limits what is read until a header is complete. The size of a body is limited by whoever reads it.
@@ -300,15 +314,15 @@
 	return n, err
 }
 
-func (c *Connector) popIdle(address netip.AddrPort) *connection {
+func (c *Connector) popIdle(pool poolKey) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.idle[address]
+	idle := c.idle[pool]
 	if len(idle) == 0 {
 		return nil
 	}
 	conn := idle[len(idle)-1]
-	c.idle[address] = idle[:len(idle)-1]
+	c.idle[pool] = idle[:len(idle)-1]
 	return conn
 }
 
@@ -317,14 +331,15 @@
 func (c *Connector) release(conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := c.idle[conn.address]
+	idle := c.idle[conn.pool]
 	if c.closed || len(idle) >= c.settings.MaxIdle {
 		_ = conn.Close() // No request is open on it, so the error does not matter.
 		return
 	}
 	now := time.Now()
 	conn.idleDeadline = now.Add(conn.idleTimeout)
-	c.idle[conn.address] = append(idle, conn)
+	conn.used = true
+	c.idle[conn.pool] = append(idle, conn)
 	if now.Sub(c.sweptAt) >= sweepInterval {
 		c.sweptAt = now
 		c.closeExpired(now)
@@ -334,7 +349,7 @@
 // closeExpired closes the idle connections that are not reused any more. Those to targets that are gone would otherwise keep
 // their descriptors. The caller holds mu.
 func (c *Connector) closeExpired(now time.Time) {
-	for address, idle := range c.idle {
+	for pool, idle := range c.idle {
 		kept := slices.DeleteFunc(idle, func(conn *connection) bool {
 			expired := !now.Before(conn.idleDeadline)
 			if expired {
@@ -342,8 +357,8 @@
 			}
 			return expired
 		})
-		if c.idle[address] = kept; len(kept) == 0 {
-			delete(c.idle, address)
+		if c.idle[pool] = kept; len(kept) == 0 {
+			delete(c.idle, pool)
 		}
 	}
 }
@@ -393,7 +408,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.MatchesResponse == nil || request.MatchesResponse(response.Header) {
+		if c.belongs(request, response.Header) {
 			return response, nil
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes); !errors.Is(err, io.EOF) || response.Close {
@@ -403,6 +418,17 @@
 	return nil, errors.New("received too many informational responses or responses to other requests")
 }
 
+// belongs reports whether a response header belongs to the request.
+func (c *connection) belongs(request Request, header http.Header) bool {
+	if request.NamesRequest != nil && !request.NamesRequest(header) {
+		c.suspect = true
+		if c.used {
+			return false
+		}
+	}
+	return request.MatchesResponse == nil || request.MatchesResponse(header)
+}
+
 // encode returns the wire format of the request.
 func (r Request) encode() (head, body []byte) {
 	var b strings.Builder
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -192,8 +192,12 @@
 
 // advance moves the cursor after the events of a response and reports whether they may be used. If
 // the incarnation has changed, they may not be used, since they were requested with a position of
-// the former incarnation; the cursor is then reset to the start.
+// the former incarnation; the cursor is then reset to the start. Nor may those before the cursor,
+// which are a late copy of an earlier response.
 func (c *cursor) advance(incarnation string, next uint64) bool {
+	if incarnation == c.incarnation && next < c.after {
+		return false
+	}
 	if c.incarnation != "" && incarnation != c.incarnation {
 		c.incarnation = incarnation
 		c.after = 0
--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -92,3 +92,28 @@
 		}
 	})
 }
+
+// copyingEngine sends a late copy of its first response in place of the third.
+type copyingEngine struct{ polls int }
+
+func (e *copyingEngine) CacheEvents(_ context.Context, _ netip.AddrPort, after uint64, _ time.Duration) (forwarder.CacheEvents, error) {
+	e.polls++
+	if e.polls == 3 {
+		after = 0
+	}
+	return forwarder.CacheEvents{Incarnation: "1", Events: []forwarder.CacheEvent{{}}, Next: after + 1}, nil
+}
+
+// Guards against events that a late copy of a response brings once more, which may have been undone since.
+func TestEventsOfLateCopyAreNotObserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, observer := &copyingEngine{}, &recorder{}
+		p := poller.New(poller.Settings[forwarder.CacheEvents]{Engines: e, Observer: observer})
+		p.SetTargets([]poller.Target{{Name: "engine-1"}})
+		time.Sleep(20 * time.Second)
+		_ = p.Close()
+		if e.polls < 10 || observer.count != e.polls-1 {
+			t.Errorf("%d events observed in %d polls, one of which got a copy", observer.count, e.polls)
+		}
+	})
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -38,6 +38,12 @@
 	}
 	defer func() { _ = response.Close() }() // Close reports no error of its own; errors come from reading the body.
 	answer := r.relayer.settings.Codec.Answer(response.Status, response.Header)
+	if answer.Unproven || answer.Unnamed && r.call.ID != "" {
+		r.runs++
+		r.cause = fmt.Errorf("%w: status %d", errNoIdentity, response.Status)
+		choice.Attempt.RecordConnectionFailure()
+		return unexplained, choice
+	}
 	r.recordTargetState(choice, answer)
 	if answer.NotRun {
 		r.discardBody(response)
@@ -72,6 +78,10 @@
 	return patientPeerTimeout
 }
 
+// errNoIdentity is the cause if an answer does not show that the chosen target gave it to this request. It may come from
+// another program at the target's address, or be a late copy of another answer.
+var errNoIdentity = errors.New("the answer does not show that it is the target's to this request")
+
 // promisesNotRun reports whether callers take a status as a promise that the request was not run and never will be.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -85,6 +85,8 @@
 	NotRun bool
 	// Sealed is set if the answer bears the mark of a target that ran the request.
 	Sealed bool
+	// Unproven is set for a success without that mark, and Unnamed if the answer names no request.
+	Unproven, Unnamed bool
 	// OtherTarget is set if another target than the chosen one answered at the address.
 	OtherTarget bool
 	// OtherWeights is set if the target serves another version of the weights than expected.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -98,7 +98,8 @@
 	broken
 	// failedAtTarget: the target ran the request and answered that it failed.
 	failedAtTarget
-	// unexplained: the status of the answer promises callers that the request was not run, but the target did not say so.
+	// unexplained: the answer does not show that it is the target's, or its status promises callers that the request was not
+	// run, but the target did not say so.
 	unexplained
 	// notResumed: the answer to the resumption of a stream is not the rest of that stream.
 	notResumed
