upgrader: the lock is only taken if the former holder is the one that is known

Cause: the transaction that takes the lock demanded that it is free, not that the former holder is still the one from which the wait before the first order follows. A daemon that reads the store through another one may have missed a holder.

Change: the former holder's key is a condition too.

--- a/upgrader/fleet_test.go
+++ b/upgrader/fleet_test.go
@@ -32,6 +32,8 @@
 	revision storer.Version
 	// isolated contains the daemons that cannot reach the store.
 	isolated map[string]bool
+	// blocked contains the daemons whose commits the store refuses.
+	blocked map[string]bool
 	// era is the era of the store, and copied the state to which restore brings it back.
 	era     storer.Era
 	copied  storeCopy
@@ -77,13 +79,16 @@
 	upgrading  map[string]bool
 	// unrenewedSince is when the renewals of the lease stopped; zero while the lease is renewed.
 	unrenewedSince time.Time
+	// stalled is set while the daemon reads a stale copy; missed are the events that it has not seen.
+	stalled bool
+	missed  []storer.Event
 	// behind is set from a restore of the store until the daemon has listed the keys again. It discards events meanwhile.
 	behind   bool
 	applying sync.Mutex
 }
 
 func newFleet(engines int, daemons ...string) *fleet {
-	f := &fleet{items: make(map[string]storer.Item), isolated: make(map[string]bool), daemons: make(map[string]*daemon), engines: make(map[string]*engine), wanted: 1}
+	f := &fleet{items: make(map[string]storer.Item), isolated: make(map[string]bool), blocked: make(map[string]bool), daemons: make(map[string]*daemon), engines: make(map[string]*engine), wanted: 1}
 	for i := range engines {
 		f.engines[fmt.Sprintf("e%02d", i)] = &engine{version: 1}
 	}
@@ -140,7 +145,10 @@
 	f.mu.Lock()
 	var reached []*daemon
 	for name, d := range f.daemons {
-		if !f.isolated[name] {
+		switch {
+		case d.stalled:
+			d.missed = append(d.missed, events...)
+		case !f.isolated[name]:
 			reached = append(reached, d)
 		}
 	}
@@ -202,7 +210,7 @@
 func (d *daemon) Commit(_ context.Context, transaction storer.Transaction) (storer.Version, error) {
 	f := d.fleet
 	f.mu.Lock()
-	if f.isolated[d.name] {
+	if f.isolated[d.name] || f.blocked[d.name] {
 		f.mu.Unlock()
 		return 0, &storer.UnavailableError{Cause: errors.New("isolated from the store")}
 	}
--- a/upgrader/lock.go
+++ b/upgrader/lock.go
@@ -114,7 +114,9 @@
 	u.lastAcquisition = acquisition{lease: lease, former: decodeFormer(formerItem.Value), known: known, at: u.settings.Now()}
 	u.mu.Unlock()
 	version, err := u.settings.Store.Commit(ctx, storer.Transaction{
-		Conditions: []storer.Condition{{Key: holderKey}},
+		// The wait for the first order follows from the former holder, so that has to be the last one still. What this daemon
+		// reads may be a copy of some seconds ago.
+		Conditions: []storer.Condition{{Key: holderKey}, {Key: formerKey, Version: formerItem.Version}},
 		Puts: []storer.Put{
 			{Key: holderKey, Value: []byte(u.settings.Name), Lease: lease},
 			{Key: formerKey, Value: encodeFormer(formerHolder{name: u.settings.Name, era: lease.Era()})},
@@ -122,7 +124,7 @@
 	})
 	var conflict *storer.ConflictError
 	if errors.As(err, &conflict) {
-		return // Another daemon acquired the lock first.
+		return // Another daemon has acquired the lock, or had it meanwhile.
 	}
 	if err != nil {
 		u.settings.Logger.Warn("outcome of acquiring the update lock is unknown", "error", err)
