--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -145,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a.target.localWork.add(work{pendingPrefill: a.work.pendingPrefill}.negated())
-	a.target.connectionFailures = 0
+	a.target.connectionFailures, a.target.foreignAnswers = 0, 0
 	a.target.stopAnswerTimeout()
 	for _, key := range a.addedParts {
 		a.target.cached.setAvailableAt(key, time.Time{})
@@ -212,6 +212,15 @@
 	})
 }
 
+// RecordForeignAnswer records that the answer does not show that the target gave it.
+func (a *Attempt) RecordForeignAnswer() {
+	a.updateTarget(func(t *target, now time.Time) {
+		t.stopAnswerTimeout()
+		t.recordForeignAnswer(now)
+		a.forgetPlacement(t)
+	})
+}
+
 // RecordCancellation records that the daemon cancelled the request before it began.
 func (a *Attempt) RecordCancellation() {
 	a.updateTarget(func(t *target, _ time.Time) { a.forgetPlacement(t) })
--- a/placer/target.go
+++ b/placer/target.go
@@ -12,6 +12,10 @@
 	// consecutive failure up to maxConnectionBackoff.
 	connectionBackoff    = 300 * time.Millisecond
 	maxConnectionBackoff = 4 * time.Second
+	// foreignBackoff is how long a target is avoided after its second answer in a row that did not show that the target gave
+	// it. It doubles with each further one up to maxForeignBackoff, since another program may stand at the address.
+	foreignBackoff    = 10 * time.Second
+	maxForeignBackoff = 5 * time.Minute
 )
 
 // Urgencies is the number of priority classes of requests; class zero is the most urgent.
@@ -91,6 +95,8 @@
 	shedUntil          time.Time
 	backoffUntil       time.Time
 	connectionFailures int
+	// foreignAnswers counts the answers in a row that did not show that the target gave them.
+	foreignAnswers int
 	// unansweredSince is when the answer timeout started: the time of the first request after the target's last answer.
 	// It is zero if no request has been sent since that answer.
 	unansweredSince time.Time
@@ -175,6 +181,16 @@
 	return !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) > t.answerTimeout
 }
 
+// recordForeignAnswer records an answer that does not show that the target gave it.
+func (t *target) recordForeignAnswer(now time.Time) {
+	t.foreignAnswers++
+	if t.foreignAnswers == 1 {
+		t.recordConnectionFailure(now)
+		return
+	}
+	t.backoffUntil = now.Add(min(foreignBackoff<<min(t.foreignAnswers-2, 5), maxForeignBackoff))
+}
+
 func (t *target) recordConnectionFailure(now time.Time) {
 	backoff := min(connectionBackoff<<min(t.connectionFailures, 4), maxConnectionBackoff)
 	t.connectionFailures++
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -41,7 +41,7 @@
 	if answer.Unproven || answer.Unnamed && r.call.ID != "" {
 		r.runs++
 		r.cause = fmt.Errorf("%w: status %d", errNoIdentity, response.Status)
-		choice.Attempt.RecordConnectionFailure()
+		choice.Attempt.RecordForeignAnswer()
 		return unexplained, choice
 	}
 	r.recordTargetState(choice, answer)
