reserver: answers that break off aren't copied

Cause: answers of services and engines were read by io.ReadAll. It joins what it has read into a copy even if the answer breaks off, and the budget didn't count the copy; the race detector also makes the growth of its slices allocate twice. So 64 MB of budget could mean three times as much in the heap. Ruled out: the test server's buffers (small), answers that get past the budget.

Change: Reader.ReadAll reads in parts, copies nothing of an answer that breaks off, reserves the memory of the one copy of a complete answer, and returns no content with an error. The test's bound is unchanged.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,7 +24,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -163,7 +162,7 @@
 func (c *Client) readBody(response *http.Response, limit int64) (content []byte, err error) {
 	body := c.settings.Memory.Reader(response.Body)
 	defer func() { err = errors.Join(err, body.Close()) }()
-	return io.ReadAll(io.LimitReader(body, limit))
+	return body.ReadAll(limit)
 }
 
 // newTransport returns a transport whose connections count the bytes written. With singleUse,
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -8,6 +8,8 @@
 //	n, err := body.Read(buffer) // A reserver.ExceededError if the budget is used up.
 //	body.Hold(0)                // What was read is no longer held.
 //	err = body.Close()
+//
+// Reader.ReadAll reads an answer that is needed as a whole.
 package reserver
 
 import (
