forwarder: exports don't count as incomplete answers

Cause: the budget of 64 MB for incomplete answers also counted exports of cached blocks, each up to 32 MB and two at once by the mover's settings. Since the copy of a complete answer counts as well, moves of rilld serve could fail although each export had an allowed size. Change: calls whose limit is raised on purpose read without the budget, as before; the mover bounds how many there are. Weighed against it: a larger budget for the client of the mover, which would have to follow the mover's settings.

--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -22,7 +22,8 @@
 	// extraTimeout is added to ControlTimeout, for calls that the target may hold open.
 	extraTimeout time.Duration
 	// bodyLimit raises the limit on the response body above MaxBodyBytes; a lower value has no
-	// effect.
+	// effect. Such a body doesn't count as an incomplete answer: whoever makes these calls bounds
+	// how many it makes at once.
 	bodyLimit int64
 	// singleUse makes the call on a new connection that is closed afterwards. Calls need it whose
 	// answers tell what ran, since they carry no ID: on a pooled connection, a late copy of an
@@ -46,7 +47,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	limit := max(call.bodyLimit, c.settings.MaxBodyBytes)
-	body, err := c.readBody(response, limit)
+	memory := c.settings.Memory
+	if call.bodyLimit > 0 {
+		memory = nil
+	}
+	body, err := readBody(response, limit, memory)
 	if err != nil {
 		return a.brokenError(err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,7 +80,8 @@
 	MaxBodyBytes   int64
 	MaxImportBytes int64
 	MaxEventBytes  int
-	// Memory bounds the memory of incomplete answers together. Default: a budget of DefaultAnswerBytes for the client.
+	// Memory bounds the memory of incomplete answers together, except those of Export. Default: a budget of
+	// DefaultAnswerBytes for the client.
 	Memory *reserver.Budget
 }
 
@@ -158,9 +159,9 @@
 	}
 }
 
-// readBody reads the body of a response, up to a number of bytes.
-func (c *Client) readBody(response *http.Response, limit int64) (content []byte, err error) {
-	body := c.settings.Memory.Reader(response.Body)
+// readBody reads the body of a response within a memory, up to a number of bytes.
+func readBody(response *http.Response, limit int64, memory *reserver.Budget) (content []byte, err error) {
+	body := memory.Reader(response.Body)
 	defer func() { err = errors.Join(err, body.Close()) }()
 	return body.ReadAll(limit)
 }
--- a/forwarder/memory_test.go
+++ b/forwarder/memory_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -67,3 +68,27 @@
 		t.Errorf("%.0f MB in use, the host has %.0f MB", float64(most)/1e6, smallHost/1e6)
 	}
 }
+
+// Guards against moves of cached blocks that fail for the bound on incomplete answers, which is smaller than two exports of the
+// allowed size.
+func TestExportsOfAllowedSizeAreRead(t *testing.T) {
+	const exportBytes = 32 << 20
+	content := bytes.Repeat([]byte("x"), exportBytes)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Rill-Request", r.Header.Get("X-Rill-Request"))
+		_, _ = w.Write(content) // The client reports what is missing.
+	}))
+	defer server.Close()
+	client := forwarder.New(forwarder.Settings{MaxImportBytes: exportBytes})
+	defer func() { _ = client.Close() }()
+	var group conc.WaitGroup
+	for range 3 {
+		group.Go(func() {
+			data, err := client.Export(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), "a", "w1", nil)
+			if err != nil || !bytes.Equal(data, content) {
+				t.Errorf("%d bytes of %d: %v", len(data), exportBytes, err)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -93,7 +93,7 @@
 		return ServiceAnswer{}, a.refusedError(response.StatusCode, "not_run")
 	}
 	limit := a.client.settings.MaxBodyBytes
-	body, err := a.client.readBody(response, limit+1)
+	body, err := readBody(response, limit+1, a.client.settings.Memory)
 	if err != nil {
 		return ServiceAnswer{}, a.brokenError(err)
 	}
