--- a/server/body.go
+++ b/server/body.go
@@ -13,8 +13,8 @@
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 )
 
-// readBody reads a body within MaxBodyBytes and BodyTimeout. While the daemon stops, it refuses the request instead. If reading fails, the read deadline
-// stays on the connection, since the HTTP server goes on reading the rest of the body.
+// readBody reads a body within MaxBodyBytes and BodyTimeout. While the daemon stops, it refuses the request instead. If
+// reading fails, the read deadline stays on the connection, since the HTTP server goes on reading the rest of the body.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, refusal *refuser.Refusal) {
 	control := http.NewResponseController(w)
 	// The response writers of tests do not support deadlines. BodyTimeout is not enforced for them.
