--- a/forwarder/control.go
+++ b/forwarder/control.go
@@ -51,7 +51,7 @@
 	if call.bodyLimit > 0 {
 		memory = nil
 	}
-	body, err := readBody(response, limit, memory)
+	body, err := memory.ReadAll(response.Body, limit)
 	if err != nil {
 		return a.brokenError(err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,7 +23,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -159,13 +158,6 @@
 	}
 }
 
-// readBody reads the body of a response within a memory, up to a number of bytes.
-func readBody(response *http.Response, limit int64, memory *reserver.Budget) (content []byte, err error) {
-	body := memory.Reader(response.Body)
-	defer func() { err = errors.Join(err, body.Close()) }()
-	return body.ReadAll(limit)
-}
-
 // newTransport returns a transport whose connections count the bytes written. With singleUse,
 // each request opens a new connection and closes it afterwards.
 func newTransport(settings Settings, singleUse bool) *http.Transport {
--- a/forwarder/service.go
+++ b/forwarder/service.go
@@ -93,7 +93,7 @@
 		return ServiceAnswer{}, a.refusedError(response.StatusCode, "not_run")
 	}
 	limit := a.client.settings.MaxBodyBytes
-	body, err := readBody(response, limit+1, a.client.settings.Memory)
+	body, err := a.client.settings.Memory.ReadAll(response.Body, limit+1)
 	if err != nil {
 		return ServiceAnswer{}, a.brokenError(err)
 	}
--- a/reserver/content.go
+++ b/reserver/content.go
@@ -8,6 +8,13 @@
 	maxPartBytes = 256 << 10
 )
 
+// ReadAll reads an answer within the budget, as Reader.ReadAll does, and counts nothing of it afterwards.
+func (b *Budget) ReadAll(reader io.Reader, limit int64) (content []byte, err error) {
+	r := b.Reader(reader)
+	defer func() { _ = r.Close() }() // It returns no error.
+	return r.ReadAll(limit)
+}
+
 // ReadAll reads an answer to its end, or up to a number of bytes. It returns no content with an error, which is an
 // ExceededError if the budget doesn't allow for the answer. Unlike io.ReadAll it copies nothing of an answer that breaks off,
 // and the one copy of a complete answer counts too, so the memory in use follows the budget.
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -9,7 +9,7 @@
 //	body.Hold(0)                // What was read is no longer held.
 //	err = body.Close()
 //
-// Reader.ReadAll reads an answer that is needed as a whole.
+// Budget.ReadAll reads an answer that is needed as a whole.
 package reserver
 
 import (
