--- a/connector/connector.go
+++ b/connector/connector.go
@@ -27,7 +27,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,8 +53,6 @@
 	// idleMargin is subtracted from the timeout in the target's Keep-Alive header, so that no request is written
 	// while the target closes the connection.
 	idleMargin = 700 * time.Millisecond
-	// sweepInterval is the least time between two searches for idle connections that are not reused any more.
-	sweepInterval = time.Second
 	// maxInlineBytes is the largest body that is written before the response is read. Writing a larger
 	// one first could block forever on a target that responds without reading it.
 	maxInlineBytes  = 12 << 10
@@ -171,12 +168,6 @@
 	closed  bool
 }
 
-// poolKey identifies the connections that may serve the same requests.
-type poolKey struct {
-	address  netip.AddrPort
-	separate bool
-}
-
 // connection is a persistent connection to a target.
 type connection struct {
 	net.Conn
@@ -265,26 +256,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// acquire returns a reusable idle connection unless fresh is set, or else a new one.
-func (c *Connector) acquire(ctx context.Context, pool poolKey, fresh bool) (conn *connection, err error) {
-	for !fresh {
-		conn := c.popIdle(pool)
-		if conn == nil {
-			break
-		}
-		if time.Now().Before(conn.idleDeadline) && conn.reusable() {
-			return conn, nil
-		}
-		_ = conn.Close() // No request is open on it, so the error does not matter.
-	}
-	opened, err := c.dialer.DialContext(ctx, "tcp", pool.address.String())
-	if err != nil {
-		return nil, err
-	}
-	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool}, nil
-}
-
 // headLimiter limits what is read until a header is complete. The size of a body is limited by whoever reads it.
 type headLimiter struct {
 	reader io.Reader
@@ -314,55 +285,6 @@
 	return n, err
 }
 
-func (c *Connector) popIdle(pool poolKey) *connection {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.idle[pool]
-	if len(idle) == 0 {
-		return nil
-	}
-	conn := idle[len(idle)-1]
-	c.idle[pool] = idle[:len(idle)-1]
-	return conn
-}
-
-// release makes a connection available for the next request. If MaxIdle connections to the target are idle
-// already, or the Connector is closed, it closes the connection.
-func (c *Connector) release(conn *connection) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.idle[conn.pool]
-	if c.closed || len(idle) >= c.settings.MaxIdle {
-		_ = conn.Close() // No request is open on it, so the error does not matter.
-		return
-	}
-	now := time.Now()
-	conn.idleDeadline = now.Add(conn.idleTimeout)
-	conn.used = true
-	c.idle[conn.pool] = append(idle, conn)
-	if now.Sub(c.sweptAt) >= sweepInterval {
-		c.sweptAt = now
-		c.closeExpired(now)
-	}
-}
-
-// closeExpired closes the idle connections that are not reused any more. Those to targets that are gone would otherwise keep
-// their descriptors. The caller holds mu.
-func (c *Connector) closeExpired(now time.Time) {
-	for pool, idle := range c.idle {
-		kept := slices.DeleteFunc(idle, func(conn *connection) bool {
-			expired := !now.Before(conn.idleDeadline)
-			if expired {
-				_ = conn.Close() // No request is open on it, so the error does not matter.
-			}
-			return expired
-		})
-		if c.idle[pool] = kept; len(kept) == 0 {
-			delete(c.idle, pool)
-		}
-	}
-}
-
 // write sends the request. A request with a large body is written in a goroutine, so that the caller can read
 // the response meanwhile. The channel receives the result of the write.
 func (c *connection) write(head, body []byte) <-chan error {
