--- a/assembler/leaving_test.go
+++ b/assembler/leaving_test.go
@@ -1,7 +1,6 @@
 package assembler_test
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -31,18 +30,7 @@
 // Guards against requests that are cut when a leaving target ends (DRAIN): it says in its answers that it is leaving, while
 // its entry in the store stays as it was. No daemon sends it requests any more, until it has started anew.
 func TestTargetThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		targets func(f *fleet) []*hostingemulator.Target
-		send    func(f *fleet) func(d *daemon, id string) reply
-	}{
-		{"engine", func(f *fleet) []*hostingemulator.Target { return f.engines }, func(f *fleet) func(d *daemon, id string) reply {
-			return func(d *daemon, id string) reply { return f.callModel(d, "ask", id) }
-		}},
-		{"plain service", func(f *fleet) []*hostingemulator.Target { return f.services }, func(f *fleet) func(d *daemon, id string) reply {
-			return func(d *daemon, id string) reply { return f.call(d, http.MethodGet, "/look/"+id, id, "") }
-		}},
-	} {
+	for _, c := range targetKinds {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 3)
 			leaver := c.targets(f)[0]
--- a/assembler/limit_test.go
+++ b/assembler/limit_test.go
@@ -62,20 +62,23 @@
 	}
 }
 
+// targetKinds are the kinds of targets, with a request that is sent to each.
+var targetKinds = []struct {
+	name    string
+	targets func(f *fleet) []*hostingemulator.Target
+	send    func(f *fleet) func(d *daemon, id string) reply
+}{
+	{"engine", func(f *fleet) []*hostingemulator.Target { return f.engines }, func(f *fleet) func(d *daemon, id string) reply {
+		return func(d *daemon, id string) reply { return f.callModel(d, "ask", id) }
+	}},
+	{"plain service", func(f *fleet) []*hostingemulator.Target { return f.services }, func(f *fleet) func(d *daemon, id string) reply {
+		return func(d *daemon, id string) reply { return f.call(d, http.MethodGet, "/look/"+id, id, "") }
+	}},
+}
+
 // Guards against a target in need getting more requests from all daemons together than the limit that it named (LIMIT).
 func TestNamedLimitHoldsOverAllDaemons(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		targets func(f *fleet) []*hostingemulator.Target
-		send    func(f *fleet) func(d *daemon, id string) reply
-	}{
-		{"engine", func(f *fleet) []*hostingemulator.Target { return f.engines }, func(f *fleet) func(d *daemon, id string) reply {
-			return func(d *daemon, id string) reply { return f.callModel(d, "ask", id) }
-		}},
-		{"plain service", func(f *fleet) []*hostingemulator.Target { return f.services }, func(f *fleet) func(d *daemon, id string) reply {
-			return func(d *daemon, id string) reply { return f.call(d, http.MethodGet, "/look/"+id, id, "") }
-		}},
-	} {
+	for _, c := range targetKinds {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t, 3)
 			limited := c.targets(f)[0]
