--- a/hostingemulator/store.go
+++ b/hostingemulator/store.go
@@ -14,6 +14,7 @@
 package hostingemulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -76,11 +77,13 @@
 	// era counts the restores. It is in the header Store-Era of all answers.
 	era     uint64
 	changed chan struct{}
+	// waiting is the fate of the watches that wait now.
+	waiting *watchFate
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]item), leases: make(map[uint64]lease), revision: 10, era: 1, changed: make(chan struct{})}
+	return &Store{items: make(map[string]item), leases: make(map[uint64]lease), revision: 10, era: 1, changed: make(chan struct{}), waiting: newWatchFate()}
 }
 
 // Listen listens on the address and serves the store until Close.
@@ -247,11 +250,14 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	var fate *watchFate
 	for {
 		s.mu.Lock()
 		events, revision, changed, compacted := s.eventsAfter(query.Get("prefix"), after), s.revision, s.changed, after < s.compacted || after > s.revision
+		fate = cmp.Or(fate, s.waiting)
 		s.setEra(w)
 		s.mu.Unlock()
+		fate.await(r.Context())
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -261,6 +267,8 @@
 			select {
 			case <-changed:
 				continue
+			case <-fate.cut:
+				panic(http.ErrAbortHandler)
 			case <-r.Context().Done():
 				return
 			case <-deadline:
