--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -57,6 +57,8 @@
 	// targetsWatchTimeout and daemonsWatchTimeout are the long-poll timeouts of the other watches.
 	targetsWatchTimeout = 10 * time.Second
 	daemonsWatchTimeout = 10 * time.Second
+	// missedHeartbeats is the number of heartbeats that a target misses when the platform deletes its entry.
+	missedHeartbeats = 3
 	// maxDenialContactAge is the contact age up to which a request is denied for an unknown route or key.
 	// At a greater age a watch on the operators' keys must have failed, so the configuration may be out
 	// of date.
@@ -175,12 +177,13 @@
 // createFollowers creates one follower for each prefix of the store that the daemon watches.
 func (d *Daemon) createFollowers() {
 	v := d.view
+	contact := follower.NewContact(d.settings.Hosted.TargetHeartbeat * (missedHeartbeats - 1))
 	for _, settings := range []follower.Settings{
 		{Prefix: platform.DeclarationsPrefix, Sink: v.declarations, Wait: declarationsWatchTimeout},
 		{Prefix: platform.TargetsPrefix, Sink: v.targets, Wait: targetsWatchTimeout, BatchDelay: d.batchDelay},
 		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
 	} {
-		settings.Store, settings.Logger = d.sharing.reader, d.loggerFor("follower")
+		settings.Store, settings.Contact, settings.Logger = d.sharing.reader, contact, d.loggerFor("follower")
 		v.followers = append(v.followers, follower.New(d.noticeRestores(d.sharing.copied(settings))))
 	}
 	v.declarationsFollower = v.followers[0]
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -29,8 +30,6 @@
 	// maxBackoff.
 	baseBackoff = 100 * time.Millisecond
 	maxBackoff  = 800 * time.Millisecond
-	// recoveryWindow is the time after an outage in which Sink is still called with afterOutage set.
-	recoveryWindow = 2 * time.Second
 )
 
 // Store is the part of the platform's store that a Follower needs.
@@ -41,8 +40,8 @@
 
 // Sink receives the items and events that a Follower reads. Its methods are called by one goroutine.
 type Sink interface {
-	// Reset replaces all items. afterOutage is true if the store was unreachable until shortly before or has come back
-	// from a copy, so that changes may have been missed, and keys may be missing because their leases expired or are lost.
+	// Reset replaces all items. afterOutage is true if the store was unreachable until shortly before, for so long that
+	// leases may have expired, or has come back from a copy: keys may be missing although their owners still run.
 	Reset(items []storer.Item, afterOutage bool)
 	// HandleEvents applies events, which may be older than the items of the last Reset. afterOutage has the
 	// same meaning as in Reset.
@@ -62,7 +61,10 @@
 	// OnContact is called when the store has confirmed all items up to a revision, with the time for which it did so.
 	// It is called after the items were passed to Sink. Default: no call.
 	OnContact func(revision storer.Version, contact clocker.Instant)
-	Logger    *slog.Logger
+	// Contact tells an outage of the store from a single call that failed. Followers that read the same store share one.
+	// Default: one of this follower's own, with DefaultMinOutage.
+	Contact *Contact
+	Logger  *slog.Logger
 	// Now is the clock of ContactAge. Default: clocker.Now.
 	Now func() clocker.Instant
 }
@@ -73,10 +75,6 @@
 	// lastContact is when the last answered call was sent, by the boot clock; zero before the first complete
 	// list.
 	lastContact atomic.Int64
-	// outage is set from a failed call until a list or watch confirms the copy again. recoveredAt is the end of
-	// the last outage. Only the goroutine of run uses them.
-	outage      bool
-	recoveredAt clocker.Instant
 	// listedAt is the revision of the store at the last list; zero before it. Only the goroutine of run uses it.
 	listedAt storer.Version
 	cancel   context.CancelFunc
@@ -94,6 +92,9 @@
 	if settings.OnContact == nil {
 		settings.OnContact = func(storer.Version, clocker.Instant) {}
 	}
+	if settings.Contact == nil {
+		settings.Contact = NewContact(DefaultMinOutage)
+	}
 	return &Follower{settings: settings, cancel: func() {}}
 }
 
@@ -137,27 +138,33 @@
 			after, age, err = f.list(ctx)
 			listed = err == nil
 		} else {
-			after, age, listed, err = f.watch(ctx, after)
+			after, age, listed, err = f.watch(ctx, after, f.watchTime(failures))
 		}
 		if err != nil {
 			failures++
-			f.outage = true
-			f.logOutage(ctx, failures, err)
+			f.noteFailure(ctx, failures, err)
 			waiter.Sleep(ctx, backoff(failures))
 			continue
 		}
 		if failures > 0 {
-			f.settings.Logger.Info("store reachable again", "prefix", f.settings.Prefix, "failures", failures)
-			f.recoveredAt = f.settings.Now()
+			f.settings.Logger.Info("store reachable again", "prefix", f.settings.Prefix, "failures", failures, "after_outage", f.afterOutage())
 		}
 		failures = 0
 		if listed {
-			f.outage = false
 			f.confirm(after, sent.Add(-age))
 		}
 	}
 }
 
+// watchTime returns how long the next watch waits for events. After a failure it does not wait, so that its answer tells at once
+// whether the store is reachable.
+func (f *Follower) watchTime(failures int) time.Duration {
+	if failures > 0 {
+		return 0
+	}
+	return f.settings.Wait
+}
+
 // confirm records the time for which the store has confirmed all items up to a revision. That time never goes back.
 func (f *Follower) confirm(revision storer.Version, contact clocker.Instant) {
 	contact = max(contact, clocker.Instant(f.lastContact.Load()))
@@ -165,25 +172,38 @@
 	f.settings.OnContact(revision, contact)
 }
 
-func (f *Follower) logOutage(ctx context.Context, failures int, err error) {
-	if failures == 1 && ctx.Err() == nil {
-		f.settings.Logger.Warn("store unreachable", "prefix", f.settings.Prefix, "error", err, "contact_age_ms", f.ContactAge().Milliseconds())
+// noteFailure records a failed call, and logs the first of several in a row.
+func (f *Follower) noteFailure(ctx context.Context, failures int, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	now := f.settings.Now()
+	f.settings.Contact.fail(now)
+	var otherEra *storer.EraError
+	if errors.As(err, &otherEra) {
+		f.settings.Contact.restore(now)
+	}
+	if failures == 1 {
+		f.settings.Logger.Warn("store unreachable", "prefix", f.settings.Prefix, "error", err, "contact_age_ms", f.ContactAge().Milliseconds(),
+			"answer_age_ms", f.settings.Contact.answerAge(now).Milliseconds())
 	}
 }
 
 // noteRestore records that the store has come back from a copy. That counts as an outage, since keys may be missing although
 // their owners still run.
 func (f *Follower) noteRestore(at storer.Version) {
-	f.recoveredAt = f.settings.Now()
+	f.settings.Contact.restore(f.settings.Now())
 	f.settings.Logger.Warn("store has come back from a copy", "prefix", f.settings.Prefix, "revision", at.Revision(), "era", at.Era(),
 		"listed_revision", f.listedAt.Revision(), "listed_era", f.listedAt.Era())
 }
 
-// afterOutage reports whether the store was unreachable until now or until less than recoveryWindow ago.
-func (f *Follower) afterOutage() bool {
-	return f.outage || f.recoveredAt != 0 && f.settings.Now().Sub(f.recoveredAt) < recoveryWindow
+// noteAnswer records an answer of the store, which another daemon may have got some time ago.
+func (f *Follower) noteAnswer(age time.Duration) {
+	f.settings.Contact.answer(f.settings.Now().Add(-age))
 }
 
+func (f *Follower) afterOutage() bool { return f.settings.Contact.afterOutage(f.settings.Now()) }
+
 // backoff returns the delay after consecutive failures. Its random part spreads the calls of daemons whose calls failed
 // at the same time.
 func backoff(failures int) time.Duration {
@@ -202,6 +222,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
+		f.noteAnswer(page.Age)
 		if first == 0 {
 			first = page.Revision
 		}
@@ -234,14 +255,15 @@
 	return nil
 }
 
-// watch reads the events after a revision. It returns the revision from which the next watch continues, and the age of the
+// watch reads the events after a revision, for which it waits up to the given time. It returns the revision from which the next watch continues, and the age of the
 // events. listed is false if the store has compacted these events or has come back from a copy, so that the prefix has to be
 // listed again. The events of another era are discarded: which ones came before them is not known.
-func (f *Follower) watch(ctx context.Context, after storer.Version) (next storer.Version, age time.Duration, listed bool, err error) {
-	events, err := f.settings.Store.Watch(ctx, f.settings.Prefix, after, f.settings.Wait)
+func (f *Follower) watch(ctx context.Context, after storer.Version, wait time.Duration) (next storer.Version, age time.Duration, listed bool, err error) {
+	events, err := f.settings.Store.Watch(ctx, f.settings.Prefix, after, wait)
 	if err != nil {
 		return after, 0, true, err
 	}
+	f.noteAnswer(events.Age)
 	if events.Compacted {
 		f.settings.Logger.Info("store has compacted the history; listing the prefix again", "prefix", f.settings.Prefix, "after", after.Revision(), "era", after.Era())
 		return 0, 0, false, nil
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -143,6 +143,8 @@
 			func(s *Settings) *time.Duration { return &s.Hosted.KeyRevocation }),
 		spanField("weights_spread", "Maximum time from the replacement of weights until no request begins on the old ones.",
 			func(s *Settings) *time.Duration { return &s.Hosted.WeightsSpread }),
+		spanField("target_heartbeat", "Interval at which targets renew their entries. One that misses three of them is taken out of the store.",
+			func(s *Settings) *time.Duration { return &s.Hosted.TargetHeartbeat }),
 		spanField("lease_time", "Minimum time between the last order that one holder of the update lock sends to an engine and the first order of the next holder.",
 			func(s *Settings) *time.Duration { return &s.Hosted.LeaseTime }),
 		boundField("retry_ratio", "Retries to a service by all daemons together, as a fraction of its requests.",
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -118,6 +118,8 @@
 	// WeightsSpread is the maximum time from the replacement of weights until no request begins on
 	// the old ones.
 	WeightsSpread time.Duration
+	// TargetHeartbeat is the interval at which targets renew their entries in the store.
+	TargetHeartbeat time.Duration
 	// LeaseTime is the minimum time from the last order of one holder of a duty to the first
 	// order of its next holder.
 	LeaseTime time.Duration
@@ -172,15 +174,16 @@
 			DefaultDeadline: 2 * time.Minute,
 		},
 		Hosted: Hosted{
-			ReadyListen:   netip.MustParseAddrPort("0.0.0.0:8083"),
-			MetricsListen: netip.MustParseAddrPort("127.0.0.1:8084"),
-			MemoryBytes:   256 << 20,
-			StopBound:     8 * time.Second,
-			KeyRevocation: 5 * time.Second,
-			WeightsSpread: 10 * time.Second,
-			LeaseTime:     3 * time.Second,
-			RetryRatio:    0.2,
-			RetryBurst:    50,
+			ReadyListen:     netip.MustParseAddrPort("0.0.0.0:8083"),
+			MetricsListen:   netip.MustParseAddrPort("127.0.0.1:8084"),
+			MemoryBytes:     256 << 20,
+			StopBound:       8 * time.Second,
+			KeyRevocation:   5 * time.Second,
+			WeightsSpread:   10 * time.Second,
+			TargetHeartbeat: 1200 * time.Millisecond,
+			LeaseTime:       3 * time.Second,
+			RetryRatio:      0.2,
+			RetryBurst:      50,
 		},
 		LeaveNotice: 5 * time.Second,
 		DrainBound:  5 * time.Minute,
--- a/loader/template_test.go
+++ b/loader/template_test.go
@@ -82,7 +82,7 @@
 	values := platformValues()
 	for name, value := range map[string]string{
 		"limits.memoryMb": "284", "bounds.graceS": "8.5", "bounds.revokeMs": "5000", "bounds.versionMs": "12000",
-		"bounds.leaseMs": "0", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "35.83",
+		"bounds.leaseMs": "0", "heartbeatMs": "1500", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "35.83",
 	} {
 		values[name] = value
 	}
@@ -94,6 +94,7 @@
 	want.MemoryBytes, want.StopBound, want.KeyRevocation = 284e6, 8500*time.Millisecond, 5*time.Second
 	want.WeightsSpread, want.LeaseTime = 12*time.Second, loader.DefaultSettings().Hosted.LeaseTime
 	want.RetryRatio, want.RetryBurst = 0.2, 35.83
+	want.TargetHeartbeat = 1500 * time.Millisecond
 	if settings.Hosted != want {
 		t.Errorf("settings are %+v, want %+v", settings.Hosted, want)
 	}
