assembler, platform: a watch of the targets that falls silent is given up after 2.2 s (DRAIN)

Callers saw requests sent to targets that had left. Cause: the watch of servers/ waited 10 s and was given up after 11.5 s; on a connection that falls silent without a reset it hid each departure for so long, while the other connections kept the daemon in touch. The users' record fits: the watch of rill/ failed at its daemons at moments that differ by 0.16 s, as their starts do (its timeouts), and not at one moment, as a cut would.

The targets are watched as often as the operators' keys now, for 1.7 s at a time, and a watch that waits is given up 0.5 s later. A watch that does not wait, the one after a failure, still has 1.5 s, so that a slow store is followed. Both together lie below the shortest outage in which entries lapse, so that a silent connection counts as no outage either.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -42,7 +42,7 @@
 	// declarationsWatchTimeout is the long-poll timeout of a watch on the operators' keys. The contact
 	// age is counted from the start of the last answered watch, so it stays at about twice this timeout
 	// or less while watches succeed.
-	declarationsWatchTimeout = 1900 * time.Millisecond
+	declarationsWatchTimeout = 1700 * time.Millisecond
 	// sharedDeclarationsWait and sharedWait limit how long a call to a daemon through which this one reads the store waits
 	// for changes of the operators' keys and of others. The former also limits the contact age.
 	sharedDeclarationsWait = 600 * time.Millisecond
@@ -54,8 +54,9 @@
 	minBatchDelay     = 200 * time.Millisecond
 	maxBatchDelay     = time.Second
 	batchDelayPerPeer = 12 * time.Millisecond
-	// targetsWatchTimeout and daemonsWatchTimeout are the long-poll timeouts of the other watches.
-	targetsWatchTimeout = 10 * time.Second
+	// targetsWatchTimeout is the long-poll timeout of a watch on the targets. It is short, since a watch whose connection has
+	// fallen silent hides that targets leave until it is given up.
+	targetsWatchTimeout = declarationsWatchTimeout
 	daemonsWatchTimeout = 10 * time.Second
 	// missedHeartbeats is the number of heartbeats that a target misses when the platform deletes its entry.
 	missedHeartbeats = 3
--- a/assembler/removal_test.go
+++ b/assembler/removal_test.go
@@ -17,9 +17,9 @@
 
 // lateAfterRemoval returns how many requests a target gets later than removalTime after its entry was removed, while remove
 // disturbs the store's watches around that.
-func lateAfterRemoval(t *testing.T, remove func(f *fleet, remove func()) (bound time.Time)) (late int) {
+func lateAfterRemoval(t *testing.T, daemons int, remove func(f *fleet, remove func()) (bound time.Time)) (late int) {
 	t.Helper()
-	f := newFleet(t, 2)
+	f := newFleet(t, daemons)
 	leaver := f.services[0]
 	stop := f.load(targetKinds[1].send(f))
 	time.Sleep(time.Second)
@@ -62,7 +62,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if late := lateAfterRemoval(t, remove); late > 0 {
+			if late := lateAfterRemoval(t, 2, remove); late > 0 {
 				t.Errorf("the target got %d requests too late", late)
 			}
 		})
@@ -72,13 +72,17 @@
 // Guards against requests to a target that has left for good (DRAIN): the connection on which the daemon watches the targets has
 // fallen silent, while others to the store work.
 func TestTargetRemovedBehindSilentWatchGetsNoNewRequests(t *testing.T) {
-	late := lateAfterRemoval(t, func(f *fleet, remove func()) time.Time {
-		end := f.store.SilenceWatches()
-		f.t.Cleanup(end)
-		remove()
-		return time.Now().Add(touchTime)
-	})
-	if late > 0 {
-		t.Errorf("the target got %d requests too late", late)
+	for name, daemons := range map[string]int{"directly": 2, "through another daemon": 5} {
+		t.Run(name, func(t *testing.T) {
+			late := lateAfterRemoval(t, daemons, func(f *fleet, remove func()) time.Time {
+				end := f.store.SilenceWatches()
+				f.t.Cleanup(end)
+				remove()
+				return time.Now().Add(touchTime)
+			})
+			if late > 0 {
+				t.Errorf("the target got %d requests too late", late)
+			}
+		})
 	}
 }
