--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -51,6 +51,9 @@
 	NamedLimit float64
 	// SaysLeaving makes the target say in all answers that it is leaving. Its entry in the store stays as it is.
 	SaysLeaving bool
+	// RetryAfter makes the target refuse all requests with this value as the time after which it wants the next one. Empty
+	// disables this.
+	RetryAfter string
 }
 
 // Run is a request that a target executed.
@@ -68,6 +71,12 @@
 	At time.Time
 }
 
+// Arrival is a request that reached a target, whether it was admitted or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Target is an emulated engine or plain service on the hosting platform.
 type Target struct {
 	settings TargetSettings
@@ -84,6 +93,7 @@
 	changeSeq      int64
 	highestFencing uint64
 	runs           []Run
+	arrivals       []Arrival
 }
 
 // NewTarget returns a target with weights of version 1 that does not listen yet.
@@ -179,6 +189,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Arrivals returns the requests that reached the target, in their order.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
 // Version returns the version of the loaded weights.
 func (t *Target) Version() int64 {
 	t.mu.Lock()
@@ -260,6 +277,7 @@
 	defer t.mu.Unlock()
 	header := w.Header()
 	header.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	t.arrivals = append(t.arrivals, Arrival{ID: r.Header.Get("X-Request-Id"), At: time.Now()})
 	if t.settings.Model != "" {
 		header.Set("X-Weight-Versions", strconv.FormatInt(t.loadedVersion, 10))
 	}
@@ -274,6 +292,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case t.settings.Model != "" && expected != strconv.FormatInt(t.loadedVersion, 10):
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case t.faults.RetryAfter != "":
+		header.Set("Retry-After", t.faults.RetryAfter)
+		header.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case t.running >= t.settings.Slots || t.loadingVersion > 0:
 		header.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
