--- a/placer/choose.go
+++ b/placer/choose.go
@@ -74,7 +74,7 @@
 // Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits.
 // It counts the work of the call at that target until Attempt.Finish is called. Targets that recently refused a request,
 // whose connection recently failed or whose answer is overdue are considered only if no other target can accept the call.
-// The error is a NoTargetError if no target can accept the call, and a NotInTimeError if the first event is expected too
+// Those that asked for time are not considered before its end. The error is a NoTargetError if no target can accept the call, and a NotInTimeError if the first event is expected too
 // late.
 func (p *Placer) Choose(call Call, excluded []string) (choice Choice, err error) {
 	p.mu.Lock()
@@ -138,7 +138,14 @@
 	index := p.newHolderIndex(call, now)
 	retryAfter := time.Duration(0)
 	for _, t := range p.byService[call.Service] {
-		if !p.accepts(t) || slices.Contains(excluded, t.ID) || !allowed(t) {
+		if !p.accepts(t) {
+			continue
+		}
+		if wait := t.pauseLeft(now); wait > 0 {
+			retryAfter = min(cmp.Or(retryAfter, wait), wait)
+			continue
+		}
+		if slices.Contains(excluded, t.ID) || !allowed(t) {
 			continue
 		}
 		if wait := p.limitWait(t, now); wait > 0 {
--- a/placer/target.go
+++ b/placer/target.go
@@ -91,8 +91,12 @@
 	// gone is set once an answer shows that the incarnation accepts no more requests, whatever Leaving reports.
 	gone bool
 	// upgradingUntil is the time until which the target gets no requests, because its weights are being upgraded.
-	upgradingUntil     time.Time
-	shedUntil          time.Time
+	upgradingUntil time.Time
+	shedUntil      time.Time
+	// pausedUntil is the time until which the target wants no requests of this daemon, by its own word. oddPause is set if it
+	// has asked for time with a text that means none.
+	pausedUntil        time.Time
+	oddPause           bool
 	backoffUntil       time.Time
 	connectionFailures int
 	// foreignAnswers counts the answers in a row that did not show that the target gave them.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -156,7 +156,7 @@
 }
 
 // recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, its rate
-// limit, the version of its weights, and whether it refused the request, is leaving or is gone.
+// limit, the version of its weights, and whether it refused the request, asks for time, is leaving or is gone.
 func (r *relayedRequest) recordTargetState(choice placer.Choice, answer Answer) {
 	if answer.Requests >= 0 {
 		choice.Attempt.RecordRequestCount(answer.Requests)
@@ -178,6 +178,12 @@
 	if answer.Leaving {
 		choice.Attempt.RecordLeaving()
 	}
+	if answer.RetryAfter > 0 {
+		choice.Attempt.RecordPause(answer.RetryAfter)
+	}
+	if answer.OddRetryAfter != "" {
+		choice.Attempt.RecordOddPause(answer.OddRetryAfter)
+	}
 	if answer.NotRun && !answer.OtherTarget && !answer.OtherWeights {
 		choice.Attempt.RecordRefusal()
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -100,6 +100,10 @@
 	RateLimit float64
 	// Leaving is set if the target says that it is leaving.
 	Leaving bool
+	// RetryAfter is how long the target, which turned the request away, wants no requests of this daemon; zero if it asked for
+	// no time. OddRetryAfter is the text with which it asked if that is no time.
+	RetryAfter    time.Duration
+	OddRetryAfter string
 }
 
 // Codec translates calls and answers to and from the HTTP headers of the platform.
