--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/follower"
+	"github.com/rosemaryrill/rosemaryrill/limiter"
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
@@ -187,7 +188,7 @@
 		settings.Store, settings.Contact, settings.Logger = d.sharing.reader, contact, d.loggerFor("follower")
 		v.followers = append(v.followers, follower.New(d.noticeRestores(d.sharing.copied(settings))))
 	}
-	v.declarationsFollower = v.followers[0]
+	v.declarationsFollower, v.daemonsFollower = v.followers[0], v.followers[2]
 }
 
 // batchDelay returns how long changes of targets and daemons accumulate in the store before a watch reads them
@@ -253,11 +254,19 @@
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
 		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Crashes: view.attributor, Memory: d.memory,
-		RetryBudget: newRetryBudgets(d.hosted.Load, d.broadcaster.PeerCount), Logger: d.loggerFor("relayer"),
+		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
 }
 
+func (d *Daemon) newRetryBudgets() *limiter.FleetRetryBudgets {
+	return limiter.NewFleetRetryBudgets(limiter.FleetRetrySettings{
+		Ratio: func() float64 { return d.hosted.Load().RetryRatio },
+		Burst: func() float64 { return d.hosted.Load().RetryBurst },
+		Peers: func() (count int, known bool) { return d.broadcaster.PeerCount(), d.view.daemonsFollower.Listed() },
+	})
+}
+
 // contactAgeLimits returns the limits of the contact age, according to the current settings.
 func (d *Daemon) contactAgeLimits() relayer.ContactAgeLimits {
 	hosted := d.hosted.Load()
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -21,6 +21,7 @@
 	peers                *tracker.PeerTracker
 	followers            []*follower.Follower
 	declarationsFollower *follower.Follower
+	daemonsFollower      *follower.Follower
 	placer               *placer.Placer
 	attributor           *attributor.Attributor
 	upgrader             *upgrader.Upgrader
