limiter: a daemon's part of the retry budget is empty at its start (BUDGET)

Users saw repeats beyond what is allowed. Cause: the part of the retry budget's burst that a daemon has was full at each start, and was divided by the daemons known then. Nine daemons that start together know none: each had a quarter of the whole burst, and as much again at its next start. What a daemon can't know it now counts against itself: its part is empty at first, and holds at most one retry until the other daemons have been read from the store.

--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -12,6 +12,8 @@
 	Ratio float64
 	// Burst is the largest number of retries that the budget holds. Default: DefaultRetryBurst.
 	Burst float64
+	// StartsEmpty is set if the budget holds no retry at first. Otherwise it is full.
+	StartsEmpty bool
 }
 
 // RetryBudget limits retries to a fraction of the calls, so that retries cannot amplify an
@@ -23,11 +25,15 @@
 	level float64
 }
 
-// NewRetryBudget returns a full budget.
+// NewRetryBudget returns a budget.
 func NewRetryBudget(settings RetryBudgetSettings) *RetryBudget {
 	settings.Ratio = cmp.Or(settings.Ratio, DefaultRetryRatio)
 	settings.Burst = cmp.Or(settings.Burst, float64(DefaultRetryBurst))
-	return &RetryBudget{settings: settings, level: settings.Burst}
+	budget := &RetryBudget{settings: settings, level: settings.Burst}
+	if settings.StartsEmpty {
+		budget.level = 0
+	}
+	return budget
 }
 
 // Deposit adds the retries for one admitted call to the budget.
--- a/limiter/fleet_budget.go
+++ b/limiter/fleet_budget.go
@@ -16,7 +16,8 @@
 
 // FleetRetryBudgets holds a daemon's part of the retry budget of each service. The parts of all daemons add up
 // to no more than the budget: each request adds Ratio only at the daemon where it arrives, and the burst is divided by the
-// number of daemons.
+// number of daemons. A daemon starts without retries, since it does not know what the process before it has used, and saves up
+// at most one until it has read which others there are.
 type FleetRetryBudgets struct {
 	settings FleetRetrySettings
 
@@ -40,7 +41,10 @@
 }
 
 func (b *FleetRetryBudgets) burst() float64 {
-	peers, _ := b.settings.Peers()
+	peers, known := b.settings.Peers()
+	if !known {
+		return 1
+	}
 	return max(b.settings.Burst()/float64(peers+1+undiscoveredDaemons), 1)
 }
 
@@ -49,7 +53,7 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		budget = NewRetryBudget(RetryBudgetSettings{Ratio: b.settings.Ratio(), Burst: b.burst()})
+		budget = NewRetryBudget(RetryBudgetSettings{Ratio: b.settings.Ratio(), Burst: b.burst(), StartsEmpty: true})
 		b.byService[service] = budget
 	}
 	return budget
