--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -90,8 +90,13 @@
 }
 
 func (f *fleet) target(id, service, model string) *hostingemulator.Target {
+	return f.targetOf(id, service, model, "")
+}
+
+// targetOf starts a target with a version of its software.
+func (f *fleet) targetOf(id, service, model, software string) *hostingemulator.Target {
 	target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
-		ID: id, Service: service, Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: 6,
+		ID: id, Service: service, Zone: "north", Store: f.store, Model: model, Software: software, Slots: 8, StreamEvents: 6,
 		EventInterval: 5 * time.Millisecond, LoadTime: 200 * time.Millisecond, RestartTime: 300 * time.Millisecond,
 	})
 	if err := target.Listen(netip.MustParseAddrPort(loopback)); err != nil {
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -1,6 +1,7 @@
 package hostingemulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,6 +24,8 @@
 	Store   *Store
 	// Model is the model of an engine. It is empty for a plain service.
 	Model string
+	// Software is the version of the target's software. Default: "v1".
+	Software string
 	// Slots is the maximum number of concurrent requests; further requests are refused with 503.
 	Slots int
 	// StreamEvents is the number of events in a stream and EventInterval the time between them.
@@ -36,6 +39,8 @@
 	ReceiveBuffer int
 }
 
+const defaultSoftware = "v1"
+
 // TargetFaults are the faults to inject into a Target. The zero value injects none.
 type TargetFaults struct {
 	// CutStreamsAfterEvent is the ID of the last event that a stream sends completely; the connection
@@ -63,6 +68,8 @@
 	Account   string
 	Weights   int64
 	CacheSalt string
+	// Software is the version of the target's software.
+	Software string
 	// ResumedAfter is the ID of the event after which the request resumed a stream.
 	ResumedAfter string
 	// Authorization is the Authorization header that reached the target.
@@ -98,6 +105,7 @@
 
 // NewTarget returns a target with weights of version 1 that does not listen yet.
 func NewTarget(settings TargetSettings) *Target {
+	settings.Software = cmp.Or(settings.Software, defaultSoftware)
 	t := &Target{settings: settings, startedUnixMS: time.Now().UnixMilli(), loadedVersion: 1}
 	t.listener.ReceiveBuffer = settings.ReceiveBuffer
 	return t
@@ -207,7 +215,7 @@
 func (t *Target) writeEntry(state string) {
 	t.mu.Lock()
 	entry := map[string]any{
-		"service": t.settings.Service, "address": t.listener.Address().String(), "zone": t.settings.Zone, "version": "v1",
+		"service": t.settings.Service, "address": t.listener.Address().String(), "zone": t.settings.Zone, "version": t.settings.Software,
 		"slots": t.settings.Slots, "state": state, "coldRemainingMs": 0, "seq": t.changeSeq, "born": t.startedUnixMS, "models": t.models(),
 	}
 	t.mu.Unlock()
@@ -302,7 +310,7 @@
 	default:
 		t.running++
 		t.runs = append(t.runs, Run{
-			ID: r.Header.Get("X-Request-Id"), Target: t.settings.ID, Account: r.Header.Get("X-Tenant"), Weights: t.loadedVersion,
+			ID: r.Header.Get("X-Request-Id"), Target: t.settings.ID, Account: r.Header.Get("X-Tenant"), Weights: t.loadedVersion, Software: t.settings.Software,
 			CacheSalt: r.Header.Get("X-Cache-Salt"), ResumedAfter: r.Header.Get("Last-Event-Id"), Authorization: r.Header.Get("Authorization"), At: time.Now(),
 		})
 		return t.faults, true
