--- a/placer/choose.go
+++ b/placer/choose.go
@@ -138,7 +138,7 @@
 	index := p.newHolderIndex(call, now)
 	retryAfter := time.Duration(0)
 	for _, t := range p.byService[call.Service] {
-		if !p.accepts(t) {
+		if !p.accepts(t) || call.Software != "" && t.Software != call.Software {
 			continue
 		}
 		if wait := t.pauseLeft(now); wait > 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,8 @@
 	Slots int
 	// Started distinguishes the incarnations of one id.
 	Started time.Time
+	// Software is the version of the target's software. Versions have no order.
+	Software string
 	// Leaving is set if the target accepts no new requests.
 	Leaving bool
 	// Versions are the versions of the weights by model.
@@ -57,6 +59,9 @@
 	Service string
 	// Model is empty for services without a model.
 	Model string
+	// Software is the version of the software that the target must have; empty if any will do. The rest of a stream has to
+	// come from the version that began it.
+	Software string
 	// CacheNamespace separates the cached parts of requests that must not share any.
 	CacheNamespace string
 	// Parts are the parts of the prompt in order. The last one belongs to the request alone.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -195,6 +195,9 @@
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = time.Now()
 	}
+	if r.route.CallKind == cataloger.CallStream {
+		r.software = choice.Target.Software
+	}
 	if r.startTimer != nil {
 		r.startTimer.stop()
 	}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -56,6 +56,8 @@
 	waitingSince time.Time
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
+	// software is the version of the targets' software that began the stream; empty while any may begin it.
+	software string
 	// headWritten is set once the status and the headers of an answer were forwarded. head are the headers of that answer, and
 	// sealed is set if it bears the mark of a target.
 	headWritten bool
@@ -159,8 +161,8 @@
 	return refusal != nil, refusal
 }
 
-// awaitTarget waits shortly for a target, if a part of an answer was forwarded: its caller can no longer be told to come
-// back. It returns false once the request has waited for maxResumeWait.
+// awaitTarget waits shortly for a target to take the rest of an answer of which a part was forwarded: its caller can no longer
+// be told to come back. It returns false once the request has waited for maxResumeWait.
 func (r *relayedRequest) awaitTarget(ctx context.Context) bool {
 	if !r.headWritten {
 		return false
@@ -210,7 +212,7 @@
 func (r *relayedRequest) placerCall() placer.Call {
 	prompt := r.call.Prompt
 	return placer.Call{
-		Service: r.service, Model: prompt.Model, CacheNamespace: r.cacheNamespace,
+		Service: r.service, Model: prompt.Model, Software: r.software, CacheNamespace: r.cacheNamespace,
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
 		Urgency: r.urgency(), FirstEventLimit: r.firstEventLimit(),
 		TimeLeft: max(time.Until(r.deadline)-responseMargin, time.Nanosecond),
@@ -309,7 +311,7 @@
 	r.relayer.settings.Observe(outcome)
 	r.relayer.settings.Logger.Info("request",
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
-		"target", r.target, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
+		"target", r.target, "software", r.choice.Target.Software, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
 		"read", r.choice.PrefillTokens, "ahead", r.choice.QueuedPrefillTokens, "in_hand", r.choice.Requests,
 		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace, "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
