--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -30,6 +30,7 @@
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
@@ -85,6 +86,8 @@
 	daemonsPrefix = "rill/"
 	// hostsPrefix is the prefix of the daemons' presence entries.
 	hostsPrefix = "rill/hosts/"
+	// softwarePrefix is the prefix of the keys with the versions of the targets' software, see package recorder.
+	softwarePrefix = "rill/software/"
 )
 
 // Settings are the parameters of a Daemon.
@@ -112,6 +115,7 @@
 	edge         *edge
 	broadcaster  *broadcaster.Broadcaster
 	cachePolling cachePolling
+	origins      origins
 	sharing      *sharedStore
 	catchUp      catchUp
 	startTime    time.Time
@@ -143,20 +147,21 @@
 		return nil, err
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
+	d.origins = d.newOrigins()
 	d.view = d.newDeploymentView()
 	d.coordination = d.newCoordination()
 	d.view.upgrader = d.coordination.upgrader
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre,
-		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Logger: d.loggerFor("broadcaster"),
+		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, OnOrigins: func(told []recorder.Origin) { d.origins.Import(told...) }, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
 	}
 	d.sharing = d.newSharedStore()
 	d.createFollowers()
-	if err := d.sharing.listen(settings.PeersListen); err != nil {
+	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins); err != nil {
 		return nil, errs.Combine(err, d.close())
 	}
 	d.edge = d.newEdge()
@@ -169,6 +174,7 @@
 	for _, f := range d.view.followers {
 		f.Start(ctx)
 	}
+	d.origins.versions.Start(ctx)
 	d.coordination.presenceLease.Start(ctx)
 	d.coordination.upgraderLease.Start(ctx)
 	d.coordination.upgrader.Start(ctx)
@@ -183,7 +189,7 @@
 	for _, settings := range []follower.Settings{
 		{Prefix: platform.DeclarationsPrefix, Sink: v.declarations, Wait: declarationsWatchTimeout},
 		{Prefix: platform.TargetsPrefix, Sink: v.targets, Wait: targetsWatchTimeout, BatchDelay: d.batchDelay},
-		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
+		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers, softwarePrefix: d.origins.versions}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
 	} {
 		settings.Store, settings.Contact, settings.Logger = d.sharing.reader, contact, d.loggerFor("follower")
 		v.followers = append(v.followers, follower.New(d.noticeRestores(d.sharing.copied(settings))))
@@ -234,6 +240,7 @@
 		group.Add(f.Close())
 	}
 	d.catchUp.tasks.Wait()
+	group.Add(d.origins.close())
 	group.Add(d.sharing.close())
 	group.Add(d.view.targets.Close())
 	group.Add(d.coordination.upgraderLease.Close())
@@ -253,7 +260,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Crashes: view.attributor, Memory: d.memory,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Crashes: view.attributor, Memory: d.memory,
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -56,6 +56,7 @@
 
 // applyTargets passes the targets to the placer and the engines among them to the poller.
 func (d *Daemon) applyTargets(targets []placer.Target) {
+	d.origins.versions.SetTargets(targets)
 	d.view.placer.SetTargets(targets)
 	d.cachePolling.mu.Lock()
 	d.cachePolling.engines = nil
@@ -103,6 +104,7 @@
 	d.view.attributor.SetPeers(names)
 	d.broadcaster.SetPeers(receivers)
 	d.view.placer.SetPeers(names)
+	d.setOriginPeers(receivers, names)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
 	d.catchUpWith(receivers)
 	d.cachePolling.mu.Lock()
--- /dev/null
+++ b/assembler/origins.go
@@ -0,0 +1,61 @@
+package assembler
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/broadcaster"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
+)
+
+const (
+	// streamTimeouts is how many timeouts of its route a stream and its take-ups last at most: the last take-up begins before the
+	// first request's time is over. streamMargin is added, since callers and daemons measure from different moments.
+	streamTimeouts = 2
+	streamMargin   = 5 * time.Second
+	// defaultStreamTime is the longest time of a stream while there is no configuration.
+	defaultStreamTime = 30 * time.Second
+)
+
+// origins remembers which version of the targets' software began each stream.
+type origins struct {
+	*recorder.Origins
+	versions *recorder.Versions
+	client   *recorder.Client
+}
+
+func (d *Daemon) newOrigins() origins {
+	versions := recorder.NewVersions(recorder.VersionsSettings{
+		Name: d.settings.Name, Store: d.store, Prefix: softwarePrefix,
+		Retention: d.longestStream, Now: time.Now, Logger: d.loggerFor("recorder"),
+	})
+	client := recorder.NewClient()
+	return origins{versions: versions, client: client, Origins: recorder.NewOrigins(recorder.OriginsSettings{
+		Versions: versions, Ask: client, Retention: d.longestStream, Now: time.Now, Logger: d.loggerFor("recorder"),
+		Send: func(daemons []netip.AddrPort, origin recorder.Origin) { d.broadcaster.SendOrigin(daemons, origin) },
+	})}
+}
+
+// longestStream returns how long a stream and its take-ups last at most.
+func (d *Daemon) longestStream() time.Duration {
+	catalog := d.view.declarations.Catalog()
+	if catalog == nil {
+		return defaultStreamTime
+	}
+	return streamTimeouts*catalog.LongestStream() + streamMargin
+}
+
+// setOriginPeers sets the daemons that are told and asked the origins of streams.
+func (d *Daemon) setOriginPeers(peers []broadcaster.Peer, names []string) {
+	daemons := make([]recorder.Daemon, 0, len(peers))
+	for _, peer := range peers {
+		daemons = append(daemons, recorder.Daemon{Name: peer.Name, Address: peer.Address})
+	}
+	d.origins.SetPeers(daemons)
+	d.origins.versions.SetPeers(names)
+}
+
+func (o origins) close() error {
+	return errors.Join(o.versions.Close(), o.client.Close())
+}
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/platform"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/repeater"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
@@ -72,14 +73,15 @@
 	return errBefore == nil && errAfter == nil && reflect.DeepEqual(a, b)
 }
 
-// listen serves the copies to the other daemons.
-func (s *sharedStore) listen(address netip.AddrPort) error {
+// listen serves the copies and the origins of streams to the other daemons.
+func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(repeater.NewHandler(s.copies))
+	mux.Handle(recorder.NewHandler(origins))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	s.group.Go(func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -68,7 +68,7 @@
 	v := &deploymentView{caughtUp: d.catchUp.done.Load}
 	v.placer = placer.New(placer.Settings{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
-		Seed: rand.Uint64(), Logger: d.loggerFor("placer"),
+		SoftwareRecorded: d.origins.versions.Recorded, Seed: rand.Uint64(), Logger: d.loggerFor("placer"),
 	})
 	v.attributor = attributor.New(attributor.Settings{
 		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -30,6 +30,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/supervisor"
 )
 
@@ -55,7 +56,9 @@
 	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
 	LinkMegabits float64
 	State        State
-	Logger       *slog.Logger
+	// OnOrigins is called with the origins of streams that another daemon tells. Default: no call.
+	OnOrigins func([]recorder.Origin)
+	Logger    *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
@@ -77,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, Now: time.Now})
+	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, OnOrigins: settings.OnOrigins, Now: time.Now})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
@@ -122,6 +125,12 @@
 	return ctx.Err() == nil
 }
 
+// SendOrigin tells some daemons the origin of a stream.
+func (b *Broadcaster) SendOrigin(to []netip.AddrPort, origin recorder.Origin) {
+	message := Message{Sender: b.self.Name, Scope: ScopeReceiver, Origins: []recorder.Origin{origin}}
+	b.write(Outgoing{To: to, Datagrams: message.Encode()})
+}
+
 func (b *Broadcaster) write(outgoing Outgoing) {
 	for _, datagram := range outgoing.Datagrams {
 		for _, receiver := range outgoing.To {
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 )
 
 const (
@@ -47,7 +48,9 @@
 	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
 	LinkMegabits float64
 	State        State
-	Now          func() time.Time
+	// OnOrigins is called with the origins of streams that another daemon tells. Default: no call.
+	OnOrigins func([]recorder.Origin)
+	Now       func() time.Time
 }
 
 // Exchange decides what a daemon sends to which others, and processes what it receives. It does no network I/O, and its
@@ -77,6 +80,9 @@
 
 // NewExchange returns an Exchange without peers.
 func NewExchange(settings ExchangeSettings) *Exchange {
+	if settings.OnOrigins == nil {
+		settings.OnOrigins = func([]recorder.Origin) {}
+	}
 	self := Peer{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits}
 	return &Exchange{
 		settings: settings, self: self, started: settings.Now(), topology: newTopology(self, nil), aggregate: newAggregate(),
@@ -253,6 +259,10 @@
 	if err != nil || message.Sender == e.self.Name {
 		return false, err
 	}
+	if message.Scope == ScopeReceiver {
+		e.settings.OnOrigins(message.Origins)
+		return false, nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.settings.Now()
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 )
 
 // The field numbers of a message and, after the blank line, of its submessages. The encoding is that of protocol
@@ -32,6 +33,9 @@
 	fieldCompletion   protowire.Number = 12
 	fieldRateLimit    protowire.Number = 13
 	fieldDeparture    protowire.Number = 14
+	// fieldOrigin is the origin of a stream. Its submessage has the version of the software in place of a model, the number of the
+	// attempt in place of a version, and the stream as fieldExtra.
+	fieldOrigin protowire.Number = 15
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -66,6 +70,8 @@
 	ScopeDataCentre
 	// ScopeFleet is the state of all daemons, including the receiver.
 	ScopeFleet
+	// ScopeReceiver is something that concerns the receiver alone.
+	ScopeReceiver
 )
 
 // Message is a decoded datagram.
@@ -75,6 +81,8 @@
 	Update placer.PeerUpdate
 	// Members are the hashes of the names of the daemons that report to the sender; only in messages of ScopeFleet.
 	Members []uint64
+	// Origins are the origins of streams that the receiver is to remember; only in messages of ScopeReceiver.
+	Origins []recorder.Origin
 }
 
 // maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
@@ -122,6 +130,9 @@
 	for _, incarnation := range m.Update.Departures {
 		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
 	}
+	for _, origin := range m.Origins {
+		datagram = appendModel(datagram, fieldOrigin, origin.Software, uint64(max(origin.Attempt, 0)), origin.Stream)
+	}
 	datagram = appendMembers(datagram, m.Members)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
@@ -265,6 +276,9 @@
 		if err != nil {
 			return err
 		}
+		if field == fieldOrigin {
+			message.Origins = append(message.Origins, decoded.origin())
+		}
 		decoded.addTo(update, field)
 		return nil
 	}, func(field protowire.Number, value uint64) {
@@ -275,7 +289,7 @@
 			update.LoadsOmitted = value != 0
 		}
 	})
-	if err == nil && (message.Sender == "" || message.Scope > ScopeFleet) {
+	if err == nil && (message.Sender == "" || message.Scope > ScopeReceiver) {
 		err = errMalformed
 	}
 	return message, err
@@ -378,6 +392,10 @@
 	return placer.UpgradedTarget{Target: placer.TargetHash(s.numbers[fieldExtra]), Model: s.text, Version: s.version()}
 }
 
+func (s submessage) origin() recorder.Origin {
+	return recorder.Origin{Stream: s.numbers[fieldExtra], Software: s.text, Attempt: s.count(fieldVersion)}
+}
+
 func (s submessage) announcedVersion() placer.AnnouncedVersion {
 	return placer.AnnouncedVersion{Model: s.text, Version: s.version(), Age: s.age()}
 }
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -155,6 +155,8 @@
 	services     map[string]*Service // by name
 	accounts     map[string]*Account // by API key
 	requiresKeys bool
+	// longestStream is the longest timeout of a route with streams.
+	longestStream time.Duration
 	// sharedNamespace is the cache namespace of all accounts that are not isolated.
 	sharedNamespace string
 }
@@ -173,6 +175,9 @@
 	for i := range declarations.Routes {
 		route := &declarations.Routes[i]
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+		if route.CallKind == CallStream {
+			c.longestStream = max(c.longestStream, route.Timeout)
+		}
 	}
 	for _, routes := range c.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -194,6 +199,9 @@
 // Limits returns the limits of callers' requests and connections.
 func (c *Catalog) Limits() Limits { return c.limits }
 
+// LongestStream returns the longest timeout of a route with streams; zero if there are none.
+func (c *Catalog) LongestStream() time.Duration { return c.longestStream }
+
 // RequiresKeys reports whether requests on routes that are not anonymous need a key, which they do if any account is
 // declared.
 func (c *Catalog) RequiresKeys() bool { return c.requiresKeys }
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -73,7 +73,8 @@
 
 // Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits.
 // It counts the work of the call at that target until Attempt.Finish is called. Targets that recently refused a request,
-// whose connection recently failed or whose answer is overdue are considered only if no other target can accept the call.
+// whose connection recently failed, whose answer is overdue or whose software's version is not recorded yet are considered only
+// if no other target can accept the call.
 // Those that asked for time are not considered before its end. The error is a NoTargetError if no target can accept the call, and a NotInTimeError if the first event is expected too
 // late.
 func (p *Placer) Choose(call Call, excluded []string) (choice Choice, err error) {
@@ -82,7 +83,7 @@
 	now := p.settings.Now()
 	var best candidate
 	for _, allowed := range []func(*target) bool{
-		func(t *target) bool { return t.healthy(now) },
+		func(t *target) bool { return t.healthy(now) && p.settings.SoftwareRecorded(t.Service, t.Software) },
 		func(t *target) bool { return !t.upgradingUntil.After(now) },
 	} {
 		if best, err = p.bestCandidate(call, excluded, now, allowed); err == nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -138,6 +138,9 @@
 	// Seed must differ between daemons. It makes the keys that each daemon assigns to unshared parts distinct from those
 	// of the other daemons.
 	Seed uint64
+	// SoftwareRecorded reports whether daemons that start learn that a version of the software serves. Targets of other versions
+	// are chosen only if there is no other. Default: always.
+	SoftwareRecorded func(service, software string) bool
 	// Logger logs what targets say of themselves. Default: no log.
 	Logger *slog.Logger
 }
@@ -217,6 +220,9 @@
 	if settings.Logger == nil {
 		settings.Logger = slog.New(slog.DiscardHandler)
 	}
+	if settings.SoftwareRecorded == nil {
+		settings.SoftwareRecorded = func(string, string) bool { return true }
+	}
 	return &Placer{
 		settings:         settings,
 		started:          settings.Now(),
--- a/proto/hosting/v1/hostingv1connect/hosting.connect.go
+++ b/proto/hosting/v1/hostingv1connect/hosting.connect.go
@@ -24,6 +24,8 @@
 const (
 	// StoreServiceName is the fully-qualified name of the StoreService service.
 	StoreServiceName = "hosting.v1.StoreService"
+	// OriginServiceName is the fully-qualified name of the OriginService service.
+	OriginServiceName = "hosting.v1.OriginService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -36,6 +38,8 @@
 const (
 	// StoreServiceWatchProcedure is the fully-qualified name of the StoreService's Watch RPC.
 	StoreServiceWatchProcedure = "/hosting.v1.StoreService/Watch"
+	// OriginServiceFindProcedure is the fully-qualified name of the OriginService's Find RPC.
+	OriginServiceFindProcedure = "/hosting.v1.OriginService/Find"
 )
 
 // StoreServiceClient is a client for the hosting.v1.StoreService service.
@@ -109,3 +113,75 @@
 func (UnimplementedStoreServiceHandler) Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hosting.v1.StoreService.Watch is not implemented"))
 }
+
+// OriginServiceClient is a client for the hosting.v1.OriginService service.
+type OriginServiceClient interface {
+	// Find returns which version of the targets' software began a stream, if this daemon knows it.
+	Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error)
+}
+
+// NewOriginServiceClient constructs a client for the hosting.v1.OriginService service. By default,
+// it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and
+// sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC()
+// or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOriginServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OriginServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	originServiceMethods := v1.File_hosting_v1_hosting_proto.Services().ByName("OriginService").Methods()
+	return &originServiceClient{
+		find: connect.NewClient[v1.FindRequest, v1.FindResponse](
+			httpClient,
+			baseURL+OriginServiceFindProcedure,
+			connect.WithSchema(originServiceMethods.ByName("Find")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// originServiceClient implements OriginServiceClient.
+type originServiceClient struct {
+	find *connect.Client[v1.FindRequest, v1.FindResponse]
+}
+
+// Find calls hosting.v1.OriginService.Find.
+func (c *originServiceClient) Find(ctx context.Context, req *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
+	return c.find.CallUnary(ctx, req)
+}
+
+// OriginServiceHandler is an implementation of the hosting.v1.OriginService service.
+type OriginServiceHandler interface {
+	// Find returns which version of the targets' software began a stream, if this daemon knows it.
+	Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error)
+}
+
+// NewOriginServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOriginServiceHandler(svc OriginServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	originServiceMethods := v1.File_hosting_v1_hosting_proto.Services().ByName("OriginService").Methods()
+	originServiceFindHandler := connect.NewUnaryHandler(
+		OriginServiceFindProcedure,
+		svc.Find,
+		connect.WithSchema(originServiceMethods.ByName("Find")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/hosting.v1.OriginService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OriginServiceFindProcedure:
+			originServiceFindHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOriginServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOriginServiceHandler struct{}
+
+func (UnimplementedOriginServiceHandler) Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hosting.v1.OriginService.Find is not implemented"))
+}
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/zeebo/xxh3"
@@ -41,3 +42,12 @@
 	rank := func(m Member) uint64 { return xxh3.HashString(duty + " " + m.Name) }
 	return cmp.Or(cmp.Compare(b.LinkMegabits, a.LinkMegabits), cmp.Compare(rank(a), rank(b)), strings.Compare(a.Name, b.Name))
 }
+
+// First returns the first of the daemons for a key, in their order: those whose Position among the names is below count.
+func First(names []string, key uint64, count int) []string {
+	ordered := slices.Clone(names)
+	slices.SortFunc(ordered, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxh3.HashStringSeed(b, key), xxh3.HashStringSeed(a, key)), strings.Compare(a, b))
+	})
+	return ordered[:min(count, len(ordered))]
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,228 @@
+// Package recorder remembers which version of the targets' software began each stream, so that a caller who takes a stream up
+// again, perhaps at another daemon, gets the rest from the same version: what two versions write does not fit together.
+//
+// A daemon that sends a new stream to a target tells the target's version to the first daemons in the stream's order (see package
+// ranker) before the stream can begin. A daemon that gets a take-up asks these. Nothing about single streams is written to the
+// store. If nobody knows the version, for example since all daemons were killed at once, the stream may go on only where one
+// version alone can have begun it. Versions tells which can: it keeps the versions of each service that serve or served lately in
+// the store, where they outlive all daemons.
+//
+// # Usage
+//
+//	versions := recorder.NewVersions(recorder.VersionsSettings{Name: name, Store: store})
+//	origins := recorder.NewOrigins(recorder.OriginsSettings{Versions: versions, Send: send, Ask: ask})
+//	origins.Record(stream, 1, target.Software)
+//	software, known := origins.Find(ctx, stream)
+//	if !known {
+//		// Refuse the take-up.
+//	}
+package recorder
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/ranker"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("recorder")
+
+const (
+	// told is the number of other daemons that are told the version of a stream, and asked the number that are asked for it. More
+	// are asked, since the daemons may not agree for a moment on which there are.
+	told  = 2
+	asked = 3
+	// askTimeout bounds the time for which a take-up waits for the answers of other daemons.
+	askTimeout = 250 * time.Millisecond
+	// maxOrigins bounds the streams of half the retention that are remembered.
+	maxOrigins = 1 << 16
+)
+
+// Stream identifies a stream.
+type Stream struct {
+	Service string
+	// Account is the caller's account, so that no caller finds the streams of another one.
+	Account string
+	// ID is the id of the request that began the stream.
+	ID string
+}
+
+// hash returns the number that stands for the stream.
+func (s Stream) hash() uint64 {
+	return xxh3.HashString(s.Service + "\x00" + s.Account + "\x00" + s.ID)
+}
+
+// Origin is the version of the targets' software to which a stream was sent.
+type Origin struct {
+	// Stream is the hash of the stream's identity.
+	Stream   uint64
+	Software string
+	// Attempt is the number of the attempt to begin the stream. The last one counts.
+	Attempt int
+}
+
+// Daemon is another daemon.
+type Daemon struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Asker asks another daemon for the origin of a stream.
+type Asker interface {
+	Find(ctx context.Context, daemon netip.AddrPort, stream uint64) (origin Origin, known bool, err error)
+}
+
+// OriginsSettings are the parameters of Origins.
+type OriginsSettings struct {
+	Versions *Versions
+	// Send sends an origin to other daemons, which may get it or not.
+	Send func(daemons []netip.AddrPort, origin Origin)
+	Ask  Asker
+	// Retention returns how long a stream and its take-ups last at most.
+	Retention func() time.Duration
+	Now       func() time.Time
+	Logger    *slog.Logger
+}
+
+// Origins remembers the origins of streams: of those that this daemon began, and of those that others told it. Its methods are
+// safe for concurrent use.
+type Origins struct {
+	settings OriginsSettings
+
+	mu    sync.Mutex
+	peers []Daemon
+	// recent are the origins since rotatedAt, and older those of the time before. Both together reach back for the retention.
+	recent, older map[uint64]Origin
+	rotatedAt     time.Time
+}
+
+// NewOrigins returns Origins that know no stream.
+func NewOrigins(settings OriginsSettings) *Origins {
+	return &Origins{settings: settings, recent: make(map[uint64]Origin), older: make(map[uint64]Origin), rotatedAt: settings.Now()}
+}
+
+// SetPeers sets the other daemons.
+func (o *Origins) SetPeers(peers []Daemon) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.peers = slices.Clone(peers)
+}
+
+// Record records that an attempt to begin a stream is sent to a version of the targets' software, and tells other daemons.
+func (o *Origins) Record(stream Stream, attempt int, software string) {
+	origin := Origin{Stream: stream.hash(), Software: software, Attempt: attempt}
+	o.Import(origin)
+	if holders := o.holders(origin.Stream, told); len(holders) > 0 {
+		o.settings.Send(holders, origin)
+	}
+}
+
+// Import records what another daemon has told.
+func (o *Origins) Import(origins ...Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, origin := range origins {
+		o.rotate()
+		if known, found := o.lookUp(origin.Stream); !found || known.Attempt <= origin.Attempt {
+			o.recent[origin.Stream] = origin
+		}
+	}
+}
+
+// rotate forgets the older origins once the recent ones reach back for the retention. The caller holds mu.
+func (o *Origins) rotate() {
+	now := o.settings.Now()
+	if now.Sub(o.rotatedAt) < o.settings.Retention() && len(o.recent) < maxOrigins {
+		return
+	}
+	o.older, o.recent, o.rotatedAt = o.recent, make(map[uint64]Origin), now
+}
+
+// lookUp returns a known origin. The caller holds mu.
+func (o *Origins) lookUp(stream uint64) (origin Origin, known bool) {
+	if origin, known = o.recent[stream]; !known {
+		origin, known = o.older[stream]
+	}
+	return origin, known
+}
+
+// Known returns the origin of a stream as far as this daemon knows it.
+func (o *Origins) Known(stream uint64) (origin Origin, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lookUp(stream)
+}
+
+// holders returns the first daemons in the order of the stream.
+func (o *Origins) holders(stream uint64, count int) (addresses []netip.AddrPort) {
+	o.mu.Lock()
+	peers := o.peers
+	o.mu.Unlock()
+	names := make([]string, 0, len(peers))
+	for _, peer := range peers {
+		names = append(names, peer.Name)
+	}
+	for _, name := range ranker.First(names, stream, count) {
+		i := slices.IndexFunc(peers, func(peer Daemon) bool { return peer.Name == name })
+		addresses = append(addresses, peers[i].Address)
+	}
+	return addresses
+}
+
+// Find returns the version of the targets' software that began the stream, or that alone can have begun it. known is false if
+// there are several.
+func (o *Origins) Find(ctx context.Context, stream Stream) (software string, known bool) {
+	software, source := "", "nobody"
+	origin, found := o.Known(stream.hash())
+	switch {
+	case stream.ID == "":
+	case found:
+		software, source = origin.Software, "own"
+	default:
+		if origin, found = o.askOthers(ctx, stream.hash()); found {
+			software, source = origin.Software, "others"
+		}
+	}
+	possible := o.settings.Versions.Possible(stream.Service)
+	if !found && len(possible) == 1 {
+		software, source, found = possible[0], "one version", true
+	}
+	o.settings.Logger.Info("origin of a stream", "stream", shortText(stream.ID), "service", stream.Service, "source", source, "software", software, "possible", possible)
+	return software, found
+}
+
+// maxIDBytes bounds the text of a request id in the log.
+const maxIDBytes = 64
+
+func shortText(text string) string { return text[:min(len(text), maxIDBytes)] }
+
+// askOthers asks the daemons that were told of the stream. The first one that knows it counts; the others are not waited for.
+func (o *Origins) askOthers(ctx context.Context, stream uint64) (origin Origin, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var first sync.Once
+	var calls conc.WaitGroup
+	for _, holder := range o.holders(stream, asked) {
+		calls.Go(func() {
+			answer, answered, err := o.settings.Ask.Find(ctx, holder, stream)
+			if err != nil || !answered {
+				return
+			}
+			first.Do(func() {
+				origin, known = answer, true
+				cancel()
+			})
+		})
+	}
+	calls.Wait()
+	return origin, known
+}
--- /dev/null
+++ b/recorder/versions.go
@@ -0,0 +1,328 @@
+package recorder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/ranker"
+	"github.com/rosemaryrill/rosemaryrill/storer"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
+	"github.com/rosemaryrill/rosemaryrill/waiter"
+)
+
+const (
+	// checkInterval is the time between two looks at whether the store lacks a version or has one too many.
+	checkInterval = 250 * time.Millisecond
+	// turnInterval is the time that each daemon leaves to the one before it in the service's order to write.
+	turnInterval = 500 * time.Millisecond
+	// maxTurns bounds the daemons that leave each other time.
+	maxTurns = 8
+	// removalMargin is how long a version stays in the store after its retention. No daemon then writes it again because it saw
+	// the last target leave a little later.
+	removalMargin = 10 * time.Second
+	// commitTimeout bounds a call to the store.
+	commitTimeout = 2 * time.Second
+)
+
+// Store is the part of the platform's store that Versions needs.
+type Store interface {
+	// Commit applies the transaction atomically and returns the version of its changes. Its error is a storer.ConflictError if a
+	// condition does not hold.
+	Commit(ctx context.Context, transaction storer.Transaction) (storer.Version, error)
+}
+
+// VersionsSettings are the parameters of Versions.
+type VersionsSettings struct {
+	// Name is the name of this daemon.
+	Name  string
+	Store Store
+	// Prefix is the prefix of the keys, which end with the name of a service.
+	Prefix string
+	// Retention returns how long a stream and its take-ups last at most. A version is kept for so long after its last target
+	// left, and for as long as that target's last streams.
+	Retention func() time.Duration
+	Now       func() time.Time
+	Logger    *slog.Logger
+}
+
+// Versions keeps the versions of the targets' software that serve, or served lately, for each service. A change is written to the
+// store by the first daemon in the service's order, or by the next ones if it doesn't do so; all daemons read it there. Its methods
+// are safe for concurrent use.
+type Versions struct {
+	settings VersionsSettings
+	started  time.Time
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+
+	mu       sync.Mutex
+	peers    []string
+	services map[string]*service
+	// read is set once the keys were read, and targetsKnown once the targets were.
+	read, targetsKnown bool
+}
+
+// service are the versions of one service.
+type service struct {
+	// recorded are the versions in the store, where the key was last written at revision.
+	recorded map[string]bool
+	revision storer.Version
+	// listed is when a target of each version was last listed, and current are the versions of the targets now.
+	listed  map[string]time.Time
+	current map[string]bool
+	// differsSince is when the store was first found to differ; zero if it does not.
+	differsSince time.Time
+}
+
+// wireVersions is the value of a key.
+type wireVersions struct {
+	Versions []string `json:"versions"`
+}
+
+// NewVersions returns Versions that know no version.
+func NewVersions(settings VersionsSettings) *Versions {
+	return &Versions{settings: settings, started: settings.Now(), cancel: func() {}, services: make(map[string]*service)}
+}
+
+// Start keeps the store up to date until Close or the end of ctx.
+func (v *Versions) Start(ctx context.Context) {
+	ctx, v.cancel = context.WithCancel(ctx)
+	v.tasks.Go(func() { supervisor.Run(ctx, v.settings.Logger, "record versions", v.run) })
+}
+
+// Close waits for the end of pending calls.
+func (v *Versions) Close() error {
+	v.cancel()
+	v.tasks.Wait()
+	return nil
+}
+
+func (v *Versions) run(ctx context.Context) {
+	for waiter.Sleep(ctx, checkInterval) {
+		for _, change := range v.due() {
+			v.commit(ctx, change)
+		}
+	}
+}
+
+// SetPeers sets the names of the other daemons.
+func (v *Versions) SetPeers(names []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.peers = slices.Clone(names)
+}
+
+// SetTargets sets the targets of all services.
+func (v *Versions) SetTargets(targets []placer.Target) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.settings.Now()
+	for _, s := range v.services {
+		s.touch(now)
+		clear(s.current)
+	}
+	for _, target := range targets {
+		s := v.service(target.Service)
+		s.current[target.Software] = true
+	}
+	for _, s := range v.services {
+		s.touch(now)
+	}
+	v.targetsKnown = true
+}
+
+// touch notes that the current versions are still listed.
+func (s *service) touch(now time.Time) {
+	for version := range s.current {
+		s.listed[version] = now
+	}
+}
+
+// service returns the versions of a service. The caller holds mu.
+func (v *Versions) service(name string) *service {
+	s := v.services[name]
+	if s == nil {
+		s = &service{recorded: make(map[string]bool), listed: make(map[string]time.Time), current: make(map[string]bool)}
+		v.services[name] = s
+	}
+	return s
+}
+
+// Possible returns the versions at which a stream of a service can have begun that may still be taken up, in their order as texts.
+// It returns none before the store was read.
+func (v *Versions) Possible(name string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	if s == nil || !v.read || !v.targetsKnown {
+		return nil
+	}
+	possible := v.lately(s, v.settings.Now())
+	maps.Copy(possible, s.recorded)
+	return slices.Sorted(maps.Keys(possible))
+}
+
+// Recorded reports whether the store has a version of a service, so that daemons that start learn of it.
+func (v *Versions) Recorded(name, software string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	return s != nil && s.recorded[software]
+}
+
+// lately returns the versions of which a target was listed within the retention, and forgets those that were listed so long ago
+// that they are removed from the store. The caller holds mu.
+func (v *Versions) lately(s *service, now time.Time) map[string]bool {
+	s.touch(now)
+	retention := v.retention()
+	maps.DeleteFunc(s.listed, func(_ string, at time.Time) bool { return now.Sub(at) > retention+removalMargin })
+	versions := make(map[string]bool, len(s.listed))
+	for version, at := range s.listed {
+		if now.Sub(at) <= retention {
+			versions[version] = true
+		}
+	}
+	return versions
+}
+
+// retention is how long a version is kept: the streams that its last target had end first, and their take-ups after that.
+func (v *Versions) retention() time.Duration { return 2 * v.settings.Retention() }
+
+// change is a write to the store that is due.
+type change struct {
+	service  string
+	revision storer.Version
+	versions []string
+}
+
+// due returns the changes that are due: a version is missing in the store, or has not been listed for the retention.
+func (v *Versions) due() (changes []change) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.read || !v.targetsKnown {
+		return nil
+	}
+	now := v.settings.Now()
+	for name, s := range v.services {
+		wanted := v.lately(s, now)
+		for version := range s.recorded {
+			_, known := s.listed[version]
+			wanted[version] = known || now.Sub(v.started) <= v.retention()+removalMargin
+		}
+		maps.DeleteFunc(wanted, func(_ string, is bool) bool { return !is })
+		if maps.Equal(wanted, s.recorded) {
+			s.differsSince = time.Time{}
+			continue
+		}
+		if s.differsSince.IsZero() {
+			s.differsSince = now
+		}
+		turn := min(ranker.Position(v.settings.Name, v.peers, xxh3.HashString(name)), maxTurns)
+		if now.Sub(s.differsSince) >= time.Duration(turn)*turnInterval {
+			changes = append(changes, change{service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted))})
+		}
+	}
+	return changes
+}
+
+// commit writes a change. If another daemon has written meanwhile, its change is read from the store first.
+func (v *Versions) commit(ctx context.Context, c change) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	value, err := json.Marshal(wireVersions{Versions: c.versions})
+	if err != nil {
+		v.settings.Logger.Error("versions of the targets' software cannot be encoded", "service", c.service, "error", err)
+		return
+	}
+	key := v.settings.Prefix + c.service
+	revision, err := v.settings.Store.Commit(ctx, storer.Transaction{
+		Conditions: []storer.Condition{{Key: key, Version: c.revision}}, Puts: []storer.Put{{Key: key, Value: value}},
+	})
+	var conflict *storer.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		v.settings.Logger.Warn("versions of the targets' software not recorded", "service", c.service, "versions", c.versions, "error", err)
+	}
+	if err == nil {
+		v.settings.Logger.Info("versions of the targets' software recorded", "service", c.service, "versions", c.versions, "revision", revision)
+		v.apply(storer.Item{Key: key, Value: value, Version: revision})
+	}
+}
+
+// Reset replaces what the store has.
+func (v *Versions) Reset(items []storer.Item, _ bool) {
+	present := make(map[string]bool, len(items))
+	for _, item := range items {
+		present[strings.TrimPrefix(item.Key, v.settings.Prefix)] = true
+		v.apply(item)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, s := range v.services {
+		if !present[name] {
+			v.lose(s, nil)
+			s.recorded, s.revision = make(map[string]bool), 0
+		}
+	}
+	v.read = true
+}
+
+// HandleEvents applies changes in the store.
+func (v *Versions) HandleEvents(events []storer.Event, _ bool) {
+	for _, event := range events {
+		if event.Kind == storer.EventPut {
+			v.apply(event.Item)
+			continue
+		}
+		v.mu.Lock()
+		s := v.service(strings.TrimPrefix(event.Item.Key, v.settings.Prefix))
+		if event.Item.Version > s.revision {
+			v.lose(s, nil)
+			s.recorded, s.revision = make(map[string]bool), 0
+		}
+		v.mu.Unlock()
+	}
+}
+
+// apply uses what the store has of a service, unless that is older than what is known.
+func (v *Versions) apply(item storer.Item) {
+	name := strings.TrimPrefix(item.Key, v.settings.Prefix)
+	var wire wireVersions
+	if err := json.Unmarshal(item.Value, &wire); err != nil {
+		v.settings.Logger.Warn("invalid versions of the targets' software ignored", "key", item.Key, "error", err)
+		wire.Versions = nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(name)
+	if item.Version < s.revision {
+		return
+	}
+	recorded := make(map[string]bool, len(wire.Versions))
+	for _, version := range wire.Versions {
+		recorded[version] = true
+	}
+	if item.Version.Era() > s.revision.Era() {
+		v.lose(s, recorded)
+	}
+	s.recorded, s.revision = recorded, item.Version
+}
+
+// lose keeps the versions that the store has lost, as if they had been listed until now. Daemons remove a version only by a write in
+// the same era. The caller holds mu.
+func (v *Versions) lose(s *service, left map[string]bool) {
+	for version := range s.recorded {
+		if !left[version] {
+			s.listed[version] = v.settings.Now()
+		}
+	}
+}
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"net/http"
 
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
@@ -28,12 +29,15 @@
 		return denied(http.StatusRequestEntityTooLarge, ReasonTooLarge)
 	}
 	r.route = route
-	r.service = route.Service(r.call.ID)
+	r.service = route.Service(cmp.Or(r.firstID(), r.call.ID))
 	r.deadline = r.call.ArrivedAt.Add(route.Timeout)
 	if timeout := r.call.Timeout; timeout > 0 && timeout < route.Timeout {
 		r.deadline = r.call.ArrivedAt.Add(timeout)
 	}
-	return r.admitCauses()
+	if refusal := r.admitCauses(); refusal != nil {
+		return refusal
+	}
+	return r.admitTakeUp()
 }
 
 // readmit checks the request again before a further attempt. A request that may have run keeps its route, service and
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -27,6 +27,8 @@
 	ReasonShed Reason = "shed"
 	// ReasonUnreachable: no byte of the request was sent in the last attempt, and no target has run it.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonUnknownOrigin: the caller takes a stream up again, and it is not known which version of the targets' software began it.
+	ReasonUnknownOrigin Reason = "unknown_origin"
 	// ReasonCrashesTargets: targets crashed while they ran this request before. See CrashAttributor.
 	ReasonCrashesTargets Reason = "crashes_targets"
 	// ReasonBroken: a target may have run the request, and its answer is missing or incomplete.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -25,6 +25,7 @@
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
@@ -45,8 +46,10 @@
 	Timeout time.Duration
 	// Prompt is the description of the prompt in the caller's headers.
 	Prompt Prompt
-	// LastEventID is the id of the event after which the caller resumes a stream; empty for a new stream.
+	// LastEventID is the id of the event after which the caller takes a stream up again; empty for a new stream. Resumes is the
+	// id of the request that brought the stream's first event, as far as the caller tells it.
 	LastEventID string
+	Resumes     string
 	ArrivedAt   time.Time
 }
 
@@ -156,7 +159,15 @@
 	RecordCompletion(causes []attributor.Cause)
 }
 
-// Settings are the parameters of a Relayer. Crashes, Logger, Tracer and Observe are optional.
+// Origins knows which version of the targets' software began each stream.
+type Origins interface {
+	// Record records that an attempt to begin a stream is sent to a target with a version of the software.
+	Record(stream recorder.Stream, attempt int, software string)
+	// Find returns the only version at which a stream can go on. known is false if it cannot be told.
+	Find(ctx context.Context, stream recorder.Stream) (software string, known bool)
+}
+
+// Settings are the parameters of a Relayer. Origins, Crashes, Logger, Tracer and Observe are optional.
 type Settings struct {
 	Configuration Configuration
 	Placer        Placer
@@ -164,7 +175,9 @@
 	Codec         Codec
 	RetryBudget   RetryBudget
 	// Memory bounds the memory of incomplete answers. Default: no bound of all together.
-	Memory  *reserver.Budget
+	Memory *reserver.Budget
+	// Origins tells where streams may go on that callers take up again. Default: at any target.
+	Origins Origins
 	Crashes CrashAttributor
 	Logger  *slog.Logger
 	// Tracer creates a span for each request and for each of its attempts.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
 )
 
@@ -58,6 +59,8 @@
 	lastEventID string
 	// software is the version of the targets' software that began the stream; empty while any may begin it.
 	software string
+	// takenUp is the stream that the caller takes up, once it is known which version began it.
+	takenUp recorder.Stream
 	// headWritten is set once the status and the headers of an answer were forwarded. head are the headers of that answer, and
 	// sealed is set if it bears the mark of a target.
 	headWritten bool
