--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,11 +28,14 @@
 // world is a set of daemons with a store. News of it reach the daemons up to newsDelay later, and a tenth of what daemons tell each
 // other is lost.
 type world struct {
-	random  *rand.Rand
 	daemons []*daemon
-	item    storer.Item
-	era     storer.Era
-	down    bool
+
+	// mu protects the fields below, and listed and alive of the daemons.
+	mu     sync.Mutex
+	random *rand.Rand
+	item   storer.Item
+	era    storer.Era
+	down   bool
 	// serving are the versions of the targets now.
 	serving []string
 	streams []begun
@@ -56,6 +60,20 @@
 	listed   []string
 }
 
+// intN returns a random number below n.
+func (w *world) intN(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(n)
+}
+
+// set changes the fields that mu protects.
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
 func newWorld(seed uint64, daemons int, serving ...string) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 0)), serving: serving, era: 1}
 	for i := range daemons {
@@ -71,11 +89,11 @@
 // start starts the daemon, or starts it anew without what it knew.
 func (d *daemon) start() {
 	d.stop()
-	d.versions = recorder.NewVersions(recorder.VersionsSettings{
+	versions := recorder.NewVersions(recorder.VersionsSettings{
 		Name: d.name, Store: d, Prefix: prefix, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 	})
-	d.origins = recorder.NewOrigins(recorder.OriginsSettings{
-		Versions: d.versions, Ask: d, Send: d.tell, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+	origins := recorder.NewOrigins(recorder.OriginsSettings{
+		Versions: versions, Ask: d, Send: d.tell, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 	})
 	var peers []recorder.Daemon
 	var names []string
@@ -84,41 +102,47 @@
 			peers, names = append(peers, recorder.Daemon{Name: other.name, Address: other.address}), append(names, other.name)
 		}
 	}
-	d.origins.SetPeers(peers)
-	d.versions.SetPeers(names)
-	d.alive = true
+	origins.SetPeers(peers)
+	versions.SetPeers(names)
+	d.set(func() { d.origins, d.versions, d.alive = origins, versions, true })
 	d.list()
-	d.versions.Start(context.Background())
+	versions.Start(context.Background())
 }
 
 func (d *daemon) stop() {
 	if d.versions != nil {
 		_ = d.versions.Close()
 	}
-	d.alive = false
+	d.set(func() { d.alive = false })
 }
 
 // list lets the daemon read the store.
 func (d *daemon) list() {
 	var items []storer.Item
-	if d.item.Version != 0 {
-		items = append(items, d.item)
-	}
-	d.versions.Reset(items, false)
-	d.setTargets(d.serving)
+	var serving []string
+	d.set(func() {
+		if d.item.Version != 0 {
+			items = append(items, d.item)
+		}
+		serving = d.serving
+	})
+	d.knownVersions().Reset(items, false)
+	d.setTargets(serving)
 }
 
 func (d *daemon) setTargets(serving []string) {
-	d.listed = serving
+	d.set(func() { d.listed = serving })
 	var targets []placer.Target
 	for _, software := range serving {
 		targets = append(targets, placer.Target{ID: software, Service: service, Software: software})
 	}
-	d.versions.SetTargets(targets)
+	d.knownVersions().SetTargets(targets)
 }
 
 // Commit implements recorder.Store.
 func (d *daemon) Commit(_ context.Context, transaction storer.Transaction) (storer.Version, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.down {
 		return 0, errors.New("down")
 	}
@@ -133,18 +157,20 @@
 	d.item = storer.Item{Key: put.Key, Value: put.Value, Version: version}
 	d.news(func(other *daemon, item storer.Item) func() {
 		return func() {
-			other.versions.HandleEvents([]storer.Event{{Kind: storer.EventPut, Item: item}}, false)
+			other.knownVersions().HandleEvents([]storer.Event{{Kind: storer.EventPut, Item: item}}, false)
 		}
 	})
 	return version, nil
 }
 
-// news lets each daemon learn something up to newsDelay later, unless it was started anew meanwhile.
+// news lets each daemon learn something up to newsDelay later, unless it was started anew meanwhile. The caller holds mu.
 func (w *world) news(learn func(d *daemon, item storer.Item) func()) {
 	for _, d := range w.daemons {
 		apply, process := learn(d, w.item), d.versions
 		time.AfterFunc(time.Duration(w.random.Int64N(int64(newsDelay))), func() {
-			if d.alive && d.versions == process {
+			current := false
+			d.set(func() { current = d.alive && d.versions == process })
+			if current {
 				apply()
 			}
 		})
@@ -153,12 +179,16 @@
 
 // serve replaces the versions of the targets.
 func (w *world) serve(serving ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.serving = serving
 	w.news(func(d *daemon, _ storer.Item) func() { return func() { d.setTargets(serving) } })
 }
 
 // restore lets the store come back from a copy.
 func (w *world) restore(item storer.Item) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.era++
 	w.item = storer.Item{}
 	if item.Version != 0 {
@@ -170,8 +200,8 @@
 
 func (d *daemon) tell(to []netip.AddrPort, origin recorder.Origin) {
 	for _, address := range to {
-		if other := d.daemons[address.Port()-1]; other.alive && d.random.IntN(10) > 0 {
-			other.origins.Import(origin)
+		if other := d.daemons[address.Port()-1]; other.isAlive() && d.intN(10) > 0 {
+			other.knownOrigins().Import(origin)
 		}
 	}
 }
@@ -179,16 +209,34 @@
 // Find implements recorder.Asker.
 func (d *daemon) Find(_ context.Context, address netip.AddrPort, stream uint64) (recorder.Origin, bool, error) {
 	other := d.daemons[address.Port()-1]
-	if !other.alive {
+	if !other.isAlive() {
 		return recorder.Origin{}, false, errors.New("refused")
 	}
-	origin, known := other.origins.Known(stream)
+	origin, known := other.knownOrigins().Known(stream)
 	return origin, known, nil
 }
 
+func (d *daemon) knownVersions() *recorder.Versions {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.versions
+}
+
+func (d *daemon) knownOrigins() *recorder.Origins {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.origins
+}
+
+func (d *daemon) isAlive() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.alive
+}
+
 func (w *world) randomDaemon() *daemon {
 	for {
-		if d := w.daemons[w.random.IntN(len(w.daemons))]; d.alive {
+		if d := w.daemons[w.intN(len(w.daemons))]; d.isAlive() {
 			return d
 		}
 	}
@@ -197,11 +245,13 @@
 // begin begins a stream at a version that the daemon lists, as placers choose it.
 func (w *world) begin() {
 	d := w.randomDaemon()
-	candidates := slices.DeleteFunc(slices.Clone(d.listed), func(software string) bool { return !d.versions.Recorded(service, software) })
+	var candidates []string
+	w.set(func() { candidates = slices.Clone(d.listed) })
+	candidates = slices.DeleteFunc(candidates, func(software string) bool { return !d.versions.Recorded(service, software) })
 	if len(candidates) == 0 {
 		return
 	}
-	s := begun{Stream: recorder.Stream{Service: service, Account: "a", ID: fmt.Sprint(len(w.streams))}, software: candidates[w.random.IntN(len(candidates))], at: time.Now()}
+	s := begun{Stream: recorder.Stream{Service: service, Account: "a", ID: fmt.Sprint(len(w.streams))}, software: candidates[w.intN(len(candidates))], at: time.Now()}
 	d.origins.Record(s.Stream, 1, s.software)
 	w.streams = append(w.streams, s)
 }
@@ -212,7 +262,7 @@
 	if len(live) == 0 {
 		return nil
 	}
-	s := live[w.random.IntN(len(live))]
+	s := live[w.intN(len(live))]
 	software, known := w.randomDaemon().origins.Find(context.Background(), s.Stream)
 	switch {
 	case !known:
@@ -237,9 +287,9 @@
 				}
 				time.Sleep(newsDelay)
 			}()
-			older := w.item
+			older := w.stored()
 			for range 400 {
-				switch w.random.IntN(40) {
+				switch w.intN(40) {
 				case 0:
 					w.serve(w.versions()...)
 				case 1:
@@ -249,9 +299,9 @@
 						d.start()
 					}
 				case 3:
-					w.down = !w.down
+					w.set(func() { w.down = !w.down })
 				case 4:
-					older = w.item
+					older = w.stored()
 				case 5:
 					w.restore(older)
 				default:
@@ -260,16 +310,27 @@
 						t.Fatalf("seed %d: %v", seed, err)
 					}
 				}
-				time.Sleep(time.Duration(w.random.IntN(400)) * time.Millisecond)
+				time.Sleep(time.Duration(w.intN(400)) * time.Millisecond)
 			}
 			t.Logf("seed %d: %d streams, %d take-ups gone on, %d refused", seed, len(w.streams), w.goneOn, w.refused)
 		})
 	}
 }
 
+// stored returns what the store has.
+func (w *world) stored() (item storer.Item) {
+	w.set(func() { item = w.item })
+	return item
+}
+
+func (w *world) perm(n int) (permuted []int) {
+	w.set(func() { permuted = w.random.Perm(n) })
+	return permuted
+}
+
 // versions returns one to three versions.
 func (w *world) versions() (versions []string) {
-	for _, i := range w.random.Perm(4)[:1+w.random.IntN(3)] {
+	for _, i := range w.perm(4)[:1+w.intN(3)] {
 		versions = append(versions, fmt.Sprint("v", i))
 	}
 	return versions
@@ -285,7 +346,7 @@
 				w.begin()
 				time.Sleep(10 * time.Millisecond)
 			}
-			for _, i := range w.random.Perm(len(w.daemons))[:3] {
+			for _, i := range w.perm(len(w.daemons))[:3] {
 				w.daemons[i].start()
 			}
 			for range 50 {
@@ -317,10 +378,10 @@
 		if possible := w.daemons[0].versions.Possible(service); !slices.Equal(possible, []string{"v2"}) {
 			t.Errorf("long after v1 left: %v", possible)
 		}
-		revision := w.item.Version
+		revision := w.stored().Version
 		time.Sleep(time.Hour)
-		if w.item.Version != revision {
-			t.Errorf("the store was written %d times in an hour without a change", w.item.Version-revision)
+		if now := w.stored().Version; now != revision {
+			t.Errorf("the store was written %d times in an hour without a change", now-revision)
 		}
 		for _, d := range w.daemons {
 			d.stop()
@@ -333,7 +394,7 @@
 func TestVersionsThatStoreLosesAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1, 3, "v2")
-		older := w.item
+		older := w.stored()
 		w.serve("v1", "v2")
 		time.Sleep(3 * time.Second)
 		w.serve("v2")
