--- a/connector/socket.go
+++ b/connector/socket.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 )
 
 const (
@@ -47,32 +48,20 @@
 
 // sendState returns what the kernel knows of the bytes that were sent.
 func (c *connection) sendState() (state SendState, err error) {
-	err = c.control(func(socket int) error {
-		info, err := unix.GetsockoptTCPInfo(socket, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return err
-		}
-		state = SendState{
-			Outstanding: info.Unacked > 0 || info.Notsent_bytes > 0 || info.Probes > 0,
-			Unanswered:  info.Retransmits > 0 || info.Probes > 0,
-			SinceAck:    time.Duration(info.Last_ack_recv) * time.Millisecond,
-		}
-		return nil
-	})
-	return state, err
-}
-
-// abort closes the connection of a request that is given up. If the target has not acknowledged all of it, the connection is
-// reset: the kernel would otherwise deliver the rest, perhaps seconds later, and the end of the connection only after that. If it
-// has, the end is sent as such, which is repeated if it is lost.
-func (c *connection) abort() {
-	conn, ok := c.Conn.(*net.TCPConn)
-	if state, err := c.sendState(); ok && err == nil && state.Outstanding {
-		_ = conn.SetLinger(0) // Fails only if the connection is closed.
+	info, err := dialer.TCPInfo(c.Conn)
+	if err != nil {
+		return SendState{}, err
 	}
-	_ = c.Close() // No answer is expected on it any more.
+	return SendState{
+		Outstanding: dialer.Outstanding(info),
+		Unanswered:  info.Retransmits > 0 || info.Probes > 0,
+		SinceAck:    time.Duration(info.Last_ack_recv) * time.Millisecond,
+	}, nil
 }
 
+// abort closes the connection of a request that is given up. What the target has not got of it never reaches it.
+func (c *connection) abort() { _ = dialer.Abandon(c.Conn) } // No answer is expected on it any more.
+
 // control calls a function with the socket of the connection.
 func (c *connection) control(call func(socket int) error) (err error) {
 	conn, ok := c.Conn.(syscall.Conn)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,5 +1,6 @@
-// Package dialer counts the bytes that connections send and receive. Unlike the sizes of message
-// bodies, these counts include headers and so show the network traffic of a daemon.
+// Package dialer opens connections that count the bytes that they send and receive, or that are reset when they are closed before
+// the peer has got all of them. Unlike the sizes of message bodies, the counts include headers and so show the network traffic of
+// a daemon.
 //
 // # Usage
 //
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,7 +162,7 @@
 // each request opens a new connection and closes it afterwards.
 func newTransport(settings Settings, singleUse bool) *http.Transport {
 	netDialer := &net.Dialer{Timeout: settings.ConnectTimeout, KeepAlive: keepAliveInterval}
-	dial := settings.ByteCounter.Wrap(netDialer.DialContext)
+	dial := settings.ByteCounter.Wrap(dialer.Abandoning(netDialer.DialContext))
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
