--- a/placer/choose.go
+++ b/placer/choose.go
@@ -72,11 +72,10 @@
 }
 
 // Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits.
-// It counts the work of the call at that target until Attempt.Finish is called. Targets that recently refused a request,
-// whose connection recently failed, whose answer is overdue or whose software's version is not recorded yet are considered only
-// if no other target can accept the call.
-// Those that asked for time are not considered before its end. The error is a NoTargetError if no target can accept the call, and a NotInTimeError if the first event is expected too
-// late.
+// It counts the work of the call at that target until Attempt.Finish is called. Targets that recently refused a request, whose
+// connection recently failed, whose answer is overdue or whose software's version is not recorded yet are considered only if no
+// other target can accept the call. Those that asked for time are not considered before its end. The error is a NoTargetError if
+// no target can accept the call, and a NotInTimeError if the first event is expected too late.
 func (p *Placer) Choose(call Call, excluded []string) (choice Choice, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
