--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -118,21 +119,24 @@
 
 // Guards against waiting for the store's list while requests crash targets: the list tells of a crash seconds later.
 func TestRefusedConnectionsShowCrashBeforeList(t *testing.T) {
-	f := newFleet(2)
-	f.live = map[uint64]bool{1: true, 2: true, 3: true}
-	f.refused = true
-	for range 3 {
-		f.crash(f.daemons[0], []attributor.Cause{part})
-	}
-	if err := f.daemons[0].Close(); err != nil { // Waits for the checks.
-		t.Fatal(err)
-	}
-	f.exchange()
-	for i, a := range f.daemons {
-		if !refuses(a, part) {
-			t.Errorf("daemon %d does not refuse the request though the targets refuse connections", i)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.live = map[uint64]bool{1: true, 2: true, 3: true}
+		f.refused = true
+		for range 3 {
+			f.crash(f.daemons[0], []attributor.Cause{part})
+			synctest.Wait() // The check of the target reads the clock, which the next crash advances.
 		}
-	}
+		if err := f.daemons[0].Close(); err != nil {
+			t.Fatal(err)
+		}
+		f.exchange()
+		for i, a := range f.daemons {
+			if !refuses(a, part) {
+				t.Errorf("daemon %d does not refuse the request though the targets refuse connections", i)
+			}
+		}
+	})
 }
 
 // Guards against refusing parts that only ran beside the one that crashes targets (LOST).
