assembler: the soak of targets removes none while it starts anew

Traced by the daemons' lines: the target had crashed 0.1 s before, and its start wrote its entry again 0.2 s after the removal, as a new incarnation that may be used.

--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -166,6 +166,7 @@
 		time.AfterFunc(cutTime, func() { target.SetFaults(hostingemulator.TargetFaults{}) })
 	case 6:
 		target.Crash()
+		target.faultyUntil = time.Now().Add(restartTime) // It must not be removed while it starts, since that writes its entry again.
 	default:
 		s.restart(s.random.IntN(len(s.daemons)))
 	}
