relayer: a line for each attempt without an answer

The line of a request names its last target only. Whether a request was sent again since a refusal was believed, since a connection broke or since nothing was sent could not be told from the log.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -160,10 +160,19 @@
 		return true, nil
 	}
 	r.brokenAt = time.Now()
+	r.logAttempt(result, attempted)
 	refusal = r.decideRetry(ctx, result, attempted)
 	return refusal != nil, refusal
 }
 
+// logAttempt logs an attempt whose answer was not forwarded completely. The lines of one request tell on which grounds it was sent
+// again or refused.
+func (r *relayedRequest) logAttempt(result attemptResult, choice placer.Choice) {
+	r.relayer.settings.Logger.Info("attempt without an answer",
+		"id", r.call.ID, "attempt", r.attempts, "target", choice.Target.ID, "address", addressText(choice.Target.Address),
+		"result", result.String(), "runs", r.runs, "cause", errorText(r.cause))
+}
+
 // awaitTarget waits shortly for a target to take the rest of an answer of which a part was forwarded: its caller can no longer
 // be told to come back. It returns false once the request has waited for maxResumeWait.
 func (r *relayedRequest) awaitTarget(ctx context.Context) bool {
