connector: a request is never sent on a connection that has carried it before (TWICE, REFUSED)

Callers saw: a request was refused as not run, or was sent to a further target, while a target ran it. Cause: an answer was matched by the request's id alone. A target that writes the refusal of a request once more, when the request is under way again on the same connection, was believed. Class: an answer is taken for another one that looks the same. Change: a connection remembers the ids that it has carried, and a request is sent on one that has not carried its id; after 1,000 requests a connection is closed. Weighed against closing each connection on which something was refused: refusals come in crowds and new connections are priced, and a refusal without a second request of that id harms nobody.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -3,7 +3,7 @@
 // The client of net/http retries some requests by itself when a reused connection turns out to be
 // closed, and accepts any response that arrives next on a connection. This package writes a request at
 // most once, reports in the error whether any byte of it may have been sent, skips responses to other
-// requests, and does not reuse a connection with unread bytes.
+// requests, and does not reuse a connection with unread bytes, nor for a request that was sent on it before.
 //
 // # Usage
 //
@@ -65,6 +65,8 @@
 	maxHeadBytes = 64 << 10
 	// maxMismatchedBytes limits the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
+	// maxCarried is the number of requests after which a connection is closed, since it remembers the identity of each.
+	maxCarried = 1000
 )
 
 // Settings are the parameters of a Connector.
@@ -90,6 +92,10 @@
 	Body   []byte
 	// Chunked selects chunked transfer encoding for the body instead of a Content-Length.
 	Chunked bool
+	// Identity is what tells the request from others, and what responses to it name. A connection that has carried a request
+	// with the same identity is not used: a late copy of the earlier response could not be told from the response. If it is
+	// empty, every connection is used.
+	Identity string
 	// MatchesResponse reports whether a response header belongs to this request. If it is nil, every
 	// response is accepted.
 	MatchesResponse func(http.Header) bool
@@ -177,6 +183,8 @@
 	pool    poolKey
 	// used is set once a request was answered on the connection, and suspect if a response on it named no request.
 	used, suspect bool
+	// carried are the hashes of the identities of the requests that were sent on the connection.
+	carried map[uint64]struct{}
 	// idleDeadline is the time from which an idle connection is not reused, since the target may close it.
 	idleDeadline time.Time
 	// idleTimeout is the time from the release of the connection to idleDeadline.
@@ -218,7 +226,7 @@
 // closed, so that the target can cancel the request, and what it has not got yet of the request never reaches it.
 func (c *Connector) Send(ctx context.Context, address netip.AddrPort, request Request) (response *Response, err error) {
 	defer Error.WrapP(&err)
-	conn, err := c.acquire(ctx, poolKey{address: address, separate: request.Separate}, request.Exclusive)
+	conn, err := c.acquire(ctx, poolKey{address: address, separate: request.Separate}, request)
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
@@ -239,7 +247,7 @@
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
 		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
 		connector: c, connection: conn, writeResult: writeResult, cancelAfterFunc: cancelAfterFunc,
-		keepAlive: !head.Close && !request.Exclusive && !conn.suspect,
+		keepAlive: !head.Close && !request.Exclusive && !conn.suspect && len(conn.carried) < maxCarried,
 	}
 	response.Body = &bodyReader{response: response}
 	conn.idleTimeout = parseIdleTimeout(head.Header, c.settings.IdleTimeout)
--- a/connector/copies_test.go
+++ b/connector/copies_test.go
@@ -27,6 +27,13 @@
 	})
 }
 
+// identified returns a request whose responses name it.
+func identified(id string) connector.Request {
+	request := newRequest(id)
+	request.Identity = id
+	return request
+}
+
 // Guards against a request that counts as not run, and is sent elsewhere or refused, while its target runs it (TWICE, REFUSED): the
 // copy of an earlier refusal of the same request is taken for the answer.
 func TestCopyOfRefusalIsNotTakenForAnswer(t *testing.T) {
@@ -36,7 +43,7 @@
 	defer func() { _ = c.Close() }()
 	answered := 0
 	for range 2 {
-		response, err := c.Send(t.Context(), target.address, newRequest("a"))
+		response, err := c.Send(t.Context(), target.address, identified("a"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -59,7 +66,7 @@
 	c := connector.New(connector.Settings{})
 	defer func() { _ = c.Close() }()
 	for _, id := range []string{"a", "b"} {
-		if _, err := send(t, c, target.address, newRequest(id)); err != nil {
+		if _, err := send(t, c, target.address, identified(id)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // sweepInterval is the least time between two searches for idle connections that are not reused any more.
@@ -17,14 +19,15 @@
 	separate bool
 }
 
-// acquire returns a reusable idle connection unless fresh is set, or else a new one.
-func (c *Connector) acquire(ctx context.Context, pool poolKey, fresh bool) (conn *connection, err error) {
-	for !fresh {
-		conn := c.popIdle(pool)
+// acquire returns a reusable idle connection, unless the request is exclusive, or else a new one.
+func (c *Connector) acquire(ctx context.Context, pool poolKey, request Request) (conn *connection, err error) {
+	for !request.Exclusive {
+		conn := c.takeIdle(pool, request.Identity)
 		if conn == nil {
 			break
 		}
 		if time.Now().Before(conn.idleDeadline) && conn.reusable() {
+			conn.carry(request.Identity)
 			return conn, nil
 		}
 		_ = conn.Close() // No request is open on it, so the error does not matter.
@@ -34,19 +37,43 @@
 		return nil, err
 	}
 	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool}, nil
+	conn = &connection{
+		Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool, carried: make(map[uint64]struct{}),
+	}
+	conn.carry(request.Identity)
+	return conn, nil
 }
 
-func (c *Connector) popIdle(pool poolKey) *connection {
+// takeIdle removes the idle connection that was used last from the pool, among those that have not carried the identity, and
+// returns it; nil if there is none.
+func (c *Connector) takeIdle(pool poolKey, identity string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[pool]
-	if len(idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(idle) {
+		if conn.hasCarried(identity) {
+			continue
+		}
+		c.idle[pool] = slices.Delete(idle, i, i+1)
+		return conn
+	}
+	return nil
+}
+
+// carry records that a request with the identity is sent on the connection.
+func (c *connection) carry(identity string) {
+	if identity != "" {
+		c.carried[xxh3.HashString(identity)] = struct{}{}
+	}
+}
+
+// hasCarried reports whether a request with the identity was sent on the connection.
+func (c *connection) hasCarried(identity string) bool {
+	if identity == "" {
+		return false
 	}
-	conn := idle[len(idle)-1]
-	c.idle[pool] = idle[:len(idle)-1]
-	return conn
+	_, carried := c.carried[xxh3.HashString(identity)]
+	return carried
 }
 
 // release makes a connection available for the next request. If MaxIdle connections to the target are idle
