forwarder: a refusal on a connection that carried the call before is not believed (TWICE, REFUSED)

A refusal, which alone says that a call did not run, counts as no answer if the connection remembers the call among its last 256. Evidence: TestCopyOfRefusalOfTheSameCallIsNotBelieved was red for runs (429 taken for a run that had begun) and for calls of services (503 for a call that ran).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -8,10 +9,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 )
@@ -24,8 +27,13 @@
 	mu            sync.Mutex
 	writesBlocked bool
 	written       uint64
+	// carried are the hashes of the identities of the last calls that were sent on the connection, at most maxCarried.
+	carried []uint64
 }
 
+// maxCarried bounds the calls that a connection remembers.
+const maxCarried = 256
+
 var errWritesBlocked = errors.New("the call was cancelled before it was sent")
 
 // Write counts the bytes before it writes them to the underlying connection.
@@ -54,6 +62,21 @@
 	return c.written
 }
 
+// carry records that a call is sent, and reports whether the connection remembers one with the same identity.
+func (c *trackedConn) carry(identity string) (before bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hash := xxh3.HashString(identity)
+	if slices.Contains(c.carried, hash) {
+		return true
+	}
+	if len(c.carried) == maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, hash)
+	return false
+}
+
 // attempt is one HTTP request to a target. It records the connection that the transport assigns
 // to the request, and how many bytes were written to that connection before.
 type attempt struct {
@@ -66,6 +89,8 @@
 	conn          *trackedConn
 	writtenBefore uint64
 	connAssigned  bool
+	// connCarried is set if the connection has carried the same call before, so that a late copy of that one's refusal may arrive.
+	connCarried bool
 	// connReused is set if the connection was used before, so that a late copy of an earlier response may arrive on it.
 	connReused bool
 }
@@ -99,6 +124,7 @@
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		a.conn = conn
 		a.writtenBefore = conn.bytesWritten()
+		a.connCarried = conn.carry(cmp.Or(a.request.Header.Get(headerRequestID), a.request.URL.Path))
 	}
 }
 
@@ -190,8 +216,17 @@
 	}
 }
 
-// refusedError returns the error for a call that the target rejected without running it.
+// refusedError returns the error for a call that the target rejected without running it. On a connection that has carried the call
+// before, the refusal may be a copy of an earlier one, so the call may have run.
 func (a *attempt) refusedError(status int, code string) error {
+	a.mu.Lock()
+	carried := a.connCarried
+	a.mu.Unlock()
+	if carried {
+		a.closeConn()
+		a.client.counters.broken.Add(1)
+		return &BrokenError{Target: a.target, Cause: &MalformedError{Part: "refusal on a connection that carried the call before"}, Sent: true}
+	}
 	a.client.counters.refused.Add(1)
 	return &RefusedError{Target: a.target, Status: status, Code: code}
 }
--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -137,3 +137,30 @@
 		})
 	}
 }
+
+// Guards against the copy of a refusal that is believed for a later attempt of the same call on that connection (REFUSED, TWICE): its
+// id says nothing then.
+func TestCopyOfRefusalOfTheSameCallIsNotBelieved(t *testing.T) {
+	t.Run("run", func(t *testing.T) {
+		target := newCopyingTarget(t, full+"Rill-Request-Id: two\n"+emptyBody, streamOfTwo)
+		client := newClient(t, forwarder.Settings{})
+		if _, err := client.Generate(t.Context(), target.address, modelCall("two", 4)); !isNotRun(err) {
+			t.Fatalf("the refusal itself: %v", err)
+		}
+		if _, err := client.Generate(t.Context(), target.address, modelCall("two", 4)); isNotRun(err) {
+			t.Errorf("a run that the engine has begun: %v", err)
+		}
+	})
+	t.Run("call of a service", func(t *testing.T) {
+		const named = "Rill-Request-Id: one\n"
+		target := newCopyingTarget(t, "HTTP/1.1 200 OK\n"+named+emptyBody, notRun+named+emptyBody, "HTTP/1.1 200 OK\n"+named+emptyBody)
+		client := newClient(t, forwarder.Settings{})
+		call := forwarder.ServiceCall{RequestID: "one", Method: http.MethodGet, Path: "/stock", Idempotent: true}
+		for i := range 3 {
+			// The first answer shows that the service names requests, so that connections are kept.
+			if _, err := client.CallService(t.Context(), target.address, call); i == 2 && isNotRun(err) {
+				t.Errorf("a call that the service ran: %v", err)
+			}
+		}
+	})
+}
