connector, assembler: tests of hosts that are silent for a moment (red; TWICE, LOST); timeline and hypotheses

A filter on the sockets of a target drops what arrives, so that nothing is acknowledged. With nothing outstanding, 0.3 s of silence at the first probe end a request at 2.07 s; so do 1 s, 1.8 s and 2.5 s, and 1.8 s and 2.5 s with bytes outstanding. Of six streams one ran at two engines at once and five were answered 502 when the retry budget had no more.

--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -94,3 +94,69 @@
 		}
 	}
 }
+
+// Guards against a request that is given up, and perhaps goes on elsewhere, while its sound target is silent for a second or two
+// (TWICE, LOST). No reset reaches a silent host, so its target would go on with the request.
+func TestRequestOutlivesSilentHost(t *testing.T) {
+	const work = 2500 * time.Millisecond
+	for name, c := range map[string]struct {
+		// after is the time from the request to the silence, and body the length of the request's body.
+		after, silence time.Duration
+		body           int
+	}{
+		"request unacknowledged, 1.4 s":  {0, 1400 * time.Millisecond, 0},
+		"request unacknowledged, 1.8 s":  {0, 1800 * time.Millisecond, 0},
+		"request unacknowledged, 2.5 s":  {0, 2500 * time.Millisecond, 0},
+		"nothing to acknowledge, 0.3 s":  {900 * time.Millisecond, 300 * time.Millisecond, 0},
+		"nothing to acknowledge, 1 s":    {200 * time.Millisecond, time.Second, 0},
+		"nothing to acknowledge, 1.8 s":  {200 * time.Millisecond, 1800 * time.Millisecond, 0},
+		"nothing to acknowledge, 2.5 s":  {200 * time.Millisecond, 2500 * time.Millisecond, 0},
+		"long body on its way, 1.8 s":    {0, 1800 * time.Millisecond, longBodyBytes},
+		"long body on its way, 2.5 s":    {0, 2500 * time.Millisecond, longBodyBytes},
+		"long body acknowledged, 1.8 s":  {400 * time.Millisecond, 1800 * time.Millisecond, longBodyBytes},
+		"new connection, nothing lost":   {time.Second, 0, 0},
+		"silent while nothing is needed": {50 * time.Millisecond, 100 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var target listener.Listener
+			var requests atomic.Int64
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // The answer tells if it fails.
+				if r.URL.Path == "/warm" {
+					return
+				}
+				requests.Add(1)
+				time.Sleep(work)
+			})
+			if err := target.Start(handler, netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(target.Stop)
+			connections := connector.New(connector.Settings{})
+			defer func() { _ = connections.Close() }()
+			if _, err := send(t, connections, target.Address(), connector.Request{Method: http.MethodGet, URI: "/warm", Host: "h"}); err != nil {
+				t.Fatal(err)
+			}
+			if c.silence > 0 {
+				time.AfterFunc(c.after, func() {
+					if err := target.Silence(c.silence); err != nil {
+						t.Errorf("the host cannot be made silent: %v", err)
+					}
+				})
+			}
+			time.Sleep(10 * time.Millisecond) // The silence begins before the request if it has to.
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			started := time.Now()
+			response, err := connections.Send(ctx, target.Address(), connector.Request{Method: http.MethodPost, URI: "/", Host: "h", Body: make([]byte, c.body)})
+			if err != nil {
+				t.Fatalf("given up after %s: %v", time.Since(started), err)
+			}
+			_ = response.Close()
+			if requests.Load() != 1 {
+				t.Errorf("the target got the request %d times", requests.Load())
+			}
+		})
+	}
+}
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -157,6 +157,9 @@
 // Pause makes the target silent for a while. Then it goes on with what it was doing.
 func (t *Target) Pause(duration time.Duration) { t.listener.Pause(duration) }
 
+// Silence makes the target's host silent on the network for a while: it acknowledges nothing. Then it goes on.
+func (t *Target) Silence(duration time.Duration) error { return t.listener.Silence(duration) }
+
 // Crash closes all connections, and lets a new incarnation of the target listen after TargetSettings.RestartTime.
 func (t *Target) Crash() {
 	t.mu.Lock()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -12,6 +12,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -40,13 +41,17 @@
 	address netip.AddrPort
 	server  *http.Server
 	socket  net.Listener
-	workers conc.WaitGroup
+	// connections are the open connections.
+	connections map[*net.TCPConn]struct{}
+	workers     conc.WaitGroup
 }
 
 // Start listens on the address and serves the handler until Stop. Port zero picks a free port.
 func (l *Listener) Start(handler http.Handler, address netip.AddrPort) (err error) {
 	defer Error.WrapP(&err)
-	socket, err := net.Listen("tcp", address.String())
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // Its sockets take no filters, which Silence needs.
+	socket, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return err
 	}
@@ -58,7 +63,7 @@
 	l.mu.Unlock()
 	l.workers.Go(func() {
 		// Serve returns once Stop closes the socket or the server.
-		if err := server.Serve(&pausedSocket{Listener: socket, pause: &l.pause, receiveBuffer: l.ReceiveBuffer}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&pausedSocket{Listener: socket, pause: &l.pause, receiveBuffer: l.ReceiveBuffer, track: l.track}); !errors.Is(err, http.ErrServerClosed) {
 			_ = server.Close()
 		}
 	})
--- a/listener/pause.go
+++ b/listener/pause.go
@@ -34,6 +34,8 @@
 	pause *pause
 	// receiveBuffer is the size of each connection's receive buffer; zero leaves it to the system.
 	receiveBuffer int
+	// track remembers an open connection until the returned function is called.
+	track func(net.Conn) (forget func())
 }
 
 // Accept implements net.Listener.
@@ -45,14 +47,22 @@
 	if tcp, ok := conn.(*net.TCPConn); ok && s.receiveBuffer > 0 {
 		_ = tcp.SetReadBuffer(s.receiveBuffer) // The system may round it.
 	}
+	forget := s.track(conn)
 	s.pause.wait()
-	return &pausedConnection{Conn: conn, pause: s.pause}, nil
+	return &pausedConnection{Conn: conn, pause: s.pause, forget: forget}, nil
 }
 
 // pausedConnection is a connection that can be paused.
 type pausedConnection struct {
 	net.Conn
-	pause *pause
+	pause  *pause
+	forget func()
+}
+
+// Close implements net.Conn.
+func (c *pausedConnection) Close() error {
+	c.forget()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
