connector, relayer: a silent host keeps its requests for 3.5 s (TWICE, LOST)

Callers saw: streams that broke off or ran at two targets after their target's host had been silent for a moment. Cause: the user timeout of 1.5 s ended connections after 1.5 to 2 s, and with it a single lost keep-alive probe did, whatever the count of probes. The reset does not reach a silent host, whose target works on. Class: silence taken for an end. Change: 3.5 s for all but calls that may run twice at once; three probes in a row have to be lost.

--- a/connector/socket.go
+++ b/connector/socket.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// DefaultPeerTimeout is how long a target may leave sent bytes unacknowledged before its connection ends.
-	DefaultPeerTimeout = 1500 * time.Millisecond
-	// probeIdleSeconds, probeIntervalSeconds and probeCount set TCP keep-alive probes that detect an unreachable peer on an
-	// idle connection. The kernel ends the connection at the first probe after the peer timeout.
+	// DefaultPeerTimeout is how long a target may leave sent bytes unacknowledged before its connection ends. A sound host may
+	// be silent for a second or two, and no reset reaches it then: its target goes on with the request.
+	DefaultPeerTimeout = 3500 * time.Millisecond
+	// probeIdleSeconds, probeIntervalSeconds and probeCount set TCP keep-alive probes that detect an unreachable peer while
+	// nothing is outstanding. The kernel ignores the count: it ends the connection at the first probe after the peer timeout if
+	// the one before is unanswered. So the timeout has to last for several probes, since one can be lost.
 	probeIdleSeconds     = 1
 	probeIntervalSeconds = 1
 	probeCount           = 3
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -67,16 +67,16 @@
 	return r.forwardPlain(ctx, choice, response), choice
 }
 
-// patientPeerTimeout is the peer timeout of requests that cannot go on at another target. It allows for hosts that are
-// suspended for a second or two: the last retransmission before it comes after three seconds.
-const patientPeerTimeout = 3500 * time.Millisecond
+// repeatablePeerTimeout is the peer timeout of calls that may run twice at the same time.
+const repeatablePeerTimeout = 1500 * time.Millisecond
 
-// peerTimeout returns how long the target may be unreachable. If the request can go on elsewhere, that is done soon.
+// peerTimeout returns how long the target may be unreachable. A call that may run twice goes on elsewhere soon. A stream must not:
+// its former target may only be silent, and still work on it.
 func (r *relayedRequest) peerTimeout() time.Duration {
-	if r.route.Retryable() {
-		return connector.DefaultPeerTimeout
+	if r.route.CallKind == cataloger.CallIdempotent {
+		return repeatablePeerTimeout
 	}
-	return patientPeerTimeout
+	return connector.DefaultPeerTimeout
 }
 
 // errNoIdentity is the cause if an answer does not show that the chosen target gave it to this request. It may come from
