assembler: the soak of targets makes their hosts silent, and looks for streams at two targets at once (TWICE)

A sound target's host is silent for up to 2 s. A stream that went on elsewhere while its former target worked on it for 400 ms more counts as a failure.

--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,9 +29,13 @@
 	maxTakeUps = 3
 	// cutTime is how long a target breaks off its streams.
 	cutTime = time.Second
+	// maxHostSilence is the longest time for which the host of a sound target is silent, and overlapTime how long a target may still
+	// work on a stream after it went on elsewhere.
+	maxHostSilence = 2 * time.Second
+	overlapTime    = 400 * time.Millisecond
 )
 
-// targetsSoak is a fleet whose targets come, leave, crash and ask for time, while daemons are started anew and watches of the store
+// targetsSoak is a fleet whose targets come, leave, crash, fall silent and ask for time, while daemons are started anew and watches of the store
 // are cut or fall silent. The rules are checked by what reached the targets.
 type targetsSoak struct {
 	*fleet
@@ -142,7 +147,7 @@
 	if time.Now().Before(target.faultyUntil) {
 		return
 	}
-	switch s.random.IntN(8) {
+	switch s.random.IntN(10) {
 	case 0:
 		s.store.CutWatches()
 	case 1:
@@ -167,6 +172,12 @@
 	case 6:
 		target.Crash()
 		target.faultyUntil = time.Now().Add(restartTime) // It must not be removed while it starts, since that writes its entry again.
+	case 7, 8:
+		silence := time.Duration(s.random.Int64N(int64(maxHostSilence)))
+		if err := target.Silence(silence); err != nil {
+			s.t.Errorf("%s cannot be made silent: %v", target.id, err)
+		}
+		target.faultyUntil = time.Now().Add(silence)
 	default:
 		s.restart(s.random.IntN(len(s.daemons)))
 	}
@@ -263,6 +274,9 @@
 		if _, isStream := s.streams[streamOf(id)]; len(all) > 1 && !isStream && !s.isIdempotent(all) {
 			s.t.Errorf("%s ran %d times: %v (TWICE)", id, len(all), all)
 		}
+		if overlaps(all) {
+			s.t.Errorf("%s went on elsewhere while its former target worked on it: %v (TWICE)", id, all)
+		}
 		if s.refused[id] {
 			s.t.Errorf("%s was refused as not run, and ran: %v (REFUSED)", id, all)
 		}
@@ -280,6 +294,18 @@
 	s.t.Logf("%d requests, %d arrivals, %d resumptions, %d targets, %d restarts, %d asks with %d strays", len(s.sentAt), arrivals, wentOn, len(s.targets), s.restarts, len(s.asks), strays)
 }
 
+// overlaps reports whether a target still worked on a request for overlapTime after it had begun at another one. Look-ups may do so.
+func overlaps(runs []hostingemulator.Run) bool {
+	slices.SortFunc(runs, func(a, b hostingemulator.Run) int { return a.At.Compare(b.At) })
+	for i, run := range runs[1:] {
+		before := runs[i]
+		if before.Path != "/look/x" && (before.EndedAt.IsZero() || before.EndedAt.Sub(run.At) > overlapTime) {
+			return true
+		}
+	}
+	return false
+}
+
 func streamOf(id string) string {
 	stream, _, _ := strings.Cut(id, "-again")
 	return stream
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -75,8 +75,8 @@
 	ResumedAfter string
 	// Authorization is the Authorization header that reached the target.
 	Authorization string
-	// At is when the target admitted the request.
-	At time.Time
+	// At is when the target admitted the request, and EndedAt when it stopped working on it; zero while it works.
+	At, EndedAt time.Time
 }
 
 // Arrival is a request that reached a target, whether it was admitted or not.
@@ -282,9 +282,17 @@
 	t.writeEntry("ready")
 }
 
-// admit occupies a slot and records the run if the request may run; otherwise it writes the
+// endRun frees the slot of a run.
+func (t *Target) endRun(run int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	t.runs[run].EndedAt = time.Now()
+}
+
+// admit occupies a slot and records the run, whose index it returns, if the request may run; otherwise it writes the
 // refusal.
-func (t *Target) admit(w http.ResponseWriter, r *http.Request) (faults TargetFaults, admitted bool) {
+func (t *Target) admit(w http.ResponseWriter, r *http.Request) (faults TargetFaults, run int, admitted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	header := w.Header()
@@ -317,23 +325,19 @@
 			ID: r.Header.Get("X-Request-Id"), Target: t.settings.ID, Account: r.Header.Get("X-Tenant"), Weights: t.loadedVersion, Software: t.settings.Software, Path: r.URL.Path,
 			CacheSalt: r.Header.Get("X-Cache-Salt"), ResumedAfter: r.Header.Get("Last-Event-Id"), Authorization: r.Header.Get("Authorization"), At: time.Now(),
 		})
-		return t.faults, true
+		return t.faults, len(t.runs) - 1, true
 	}
-	return TargetFaults{}, false
+	return TargetFaults{}, 0, false
 }
 
 // handleRequest handles requests of callers. A plain service responds with the method, the
 // URI and the body of the request, an engine with a stream.
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request) {
-	faults, admitted := t.admit(w, r)
+	faults, run, admitted := t.admit(w, r)
 	if !admitted {
 		return
 	}
-	defer func() {
-		t.mu.Lock()
-		t.running--
-		t.mu.Unlock()
-	}()
+	defer t.endRun(run)
 	w.Header().Set("X-Response-Seal", "seal-"+t.settings.ID)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
