--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -97,6 +98,9 @@
 	LogOutput io.Writer
 	// DebugComponents names the components whose debug lines are logged.
 	DebugComponents []string
+	// OnTargetSocket is called with each socket to a target before it is connected. Its error fails the connection. Default: no
+	// call.
+	OnTargetSocket func(socket syscall.RawConn) error
 }
 
 // Daemon is a running daemon on a hosting platform.
@@ -141,7 +145,7 @@
 		startTime: time.Now(),
 		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
-	d.connector = connector.New(connector.Settings{Memory: d.memory})
+	d.connector = connector.New(connector.Settings{Memory: d.memory, OnSocket: settings.OnTargetSocket})
 	d.hosted.Store(&settings.Hosted)
 	if err := d.createObserver(ctx); err != nil {
 		return nil, err
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -49,6 +49,7 @@
 	*assembler.Daemon
 	callers, ready, metrics netip.AddrPort
 	log                     *lockedBuffer
+	links                   *links
 }
 
 type lockedBuffer struct {
@@ -179,9 +180,9 @@
 func (f *fleet) start(i int) *daemon {
 	f.t.Helper()
 	settings := f.settings(i)
-	d := &daemon{callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}}
+	d := &daemon{callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}, links: &links{}}
 	var err error
-	d.Daemon, err = assembler.New(context.WithoutCancel(f.t.Context()), assembler.Settings{Settings: settings, LogOutput: d.log})
+	d.Daemon, err = assembler.New(context.WithoutCancel(f.t.Context()), assembler.Settings{Settings: settings, LogOutput: d.log, OnTargetSocket: d.links.add})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -80,6 +80,8 @@
 	MaxIdle int
 	// Memory bounds the memory of incomplete headers. Default: no bound of all together.
 	Memory *reserver.Budget
+	// OnSocket is called with each socket before it is connected. Its error fails the connection. Default: no call.
+	OnSocket func(socket syscall.RawConn) error
 }
 
 // Request is one request to a target.
@@ -203,7 +205,7 @@
 	settings.MaxIdle = cmp.Or(settings.MaxIdle, DefaultMaxIdle)
 	return &Connector{
 		settings: settings,
-		dialer:   net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: setProbes},
+		dialer:   net.Dialer{Timeout: settings.DialTimeout, KeepAlive: -1, Control: settings.control},
 		idle:     make(map[poolKey][]*connection),
 	}
 }
--- a/connector/socket.go
+++ b/connector/socket.go
@@ -22,8 +22,17 @@
 	probeCount           = 3
 )
 
+// control sets up a socket before it is connected.
+func (s Settings) control(_, _ string, socket syscall.RawConn) error {
+	err := setProbes(socket)
+	if s.OnSocket != nil {
+		err = errors.Join(err, s.OnSocket(socket))
+	}
+	return err
+}
+
 // setProbes sets socket options by which the kernel closes a connection to an unreachable peer.
-func setProbes(_, _ string, raw syscall.RawConn) (err error) {
+func setProbes(raw syscall.RawConn) (err error) {
 	controlErr := raw.Control(func(fd uintptr) {
 		socket := int(fd)
 		err = errors.Join(
