--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -120,6 +120,7 @@
 	broadcaster  *broadcaster.Broadcaster
 	cachePolling cachePolling
 	origins      origins
+	delegation   delegation
 	sharing      *sharedStore
 	catchUp      catchUp
 	startTime    time.Time
@@ -164,11 +165,12 @@
 		return nil, errs.Combine(err, d.close())
 	}
 	d.sharing = d.newSharedStore()
+	d.delegation = d.newDelegation()
 	d.createFollowers()
-	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins); err != nil {
-		return nil, errs.Combine(err, d.close())
-	}
 	d.edge = d.newEdge()
+	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler); err != nil {
+		return nil, errs.Combine(err, d.edge.close(), d.close())
+	}
 	if err := d.registerGauges(); err != nil {
 		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
@@ -179,6 +181,7 @@
 		f.Start(ctx)
 	}
 	d.origins.versions.Start(ctx)
+	d.delegation.prober.Start(ctx)
 	d.coordination.presenceLease.Start(ctx)
 	d.coordination.upgraderLease.Start(ctx)
 	d.coordination.upgrader.Start(ctx)
@@ -245,6 +248,9 @@
 	}
 	d.catchUp.tasks.Wait()
 	group.Add(d.origins.close())
+	if d.delegation.prober != nil {
+		group.Add(d.delegation.close())
+	}
 	group.Add(d.sharing.close())
 	group.Add(d.view.targets.Close())
 	group.Add(d.coordination.upgraderLease.Close())
@@ -264,7 +270,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Crashes: view.attributor, Memory: d.memory,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory,
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -211,7 +211,10 @@
 	e.refuseNew.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), stopAt.Add(-stopBoundMargin))
 	defer cancel()
+	var delegated conc.WaitGroup
+	delegated.Go(func() { e.drainDelegated(ctx) })
 	e.drainer.Drain(ctx)
+	delegated.Wait()
 }
 
 // close closes all ports and waits for the goroutines of the edge.
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
+	"github.com/rosemaryrill/rosemaryrill/delegator"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/recorder"
@@ -73,8 +74,8 @@
 	return errBefore == nil && errAfter == nil && reflect.DeepEqual(a, b)
 }
 
-// listen serves the copies and the origins of streams to the other daemons.
-func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins) error {
+// listen serves the copies and the origins of streams to the other daemons, and takes the requests that they pass on.
+func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins, delegated *delegator.Handler) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
@@ -82,6 +83,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(repeater.NewHandler(s.copies))
 	mux.Handle(recorder.NewHandler(origins))
+	mux.Handle(delegated.HTTP())
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	s.group.Go(func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/assembler/silent_host_test.go
+++ b/assembler/silent_host_test.go
@@ -14,24 +14,30 @@
 // slowEvent is the time to each event of a slow engine, which is longer than its host is silent.
 const slowEvent = 2500 * time.Millisecond
 
-// Guards against a stream that goes on at another engine while its own one, whose host was silent for a moment, still works on it
-// (TWICE).
-func TestStreamStaysAtSilentEngine(t *testing.T) {
-	f := newFleet(t, 1)
-	f.routeTimeout = 4 * slowEvent
-	f.configure(nil, validKey)
+// slowEngines replaces the engines by ones with another time to each event.
+func (f *fleet) slowEngines(events int, interval time.Duration) {
+	f.t.Helper()
 	for i, engine := range f.engines {
 		f.store.Delete(fmt.Sprint("servers/engine-", i))
 		_ = engine.Close()
 		f.engines[i] = hostingemulator.NewTarget(hostingemulator.TargetSettings{
-			ID: fmt.Sprint("slow-", i), Service: "engines", Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: 2, EventInterval: slowEvent,
+			ID: fmt.Sprint("slow-", i), Service: "engines", Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: events, EventInterval: interval,
 		})
 		if err := f.engines[i].Listen(netip.MustParseAddrPort(loopback)); err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = f.engines[i].Close() })
+		f.t.Cleanup(func() { _ = f.engines[i].Close() })
 	}
-	time.Sleep(time.Second) // Lets the daemon learn of the engines.
+	time.Sleep(time.Second) // Lets the daemons learn of the engines.
+}
+
+// Guards against a stream that goes on at another engine while its own one, whose host was silent for a moment, still works on it
+// (TWICE).
+func TestStreamStaysAtSilentEngine(t *testing.T) {
+	f := newFleet(t, 1)
+	f.routeTimeout = 4 * slowEvent
+	f.configure(nil, validKey)
+	f.slowEngines(2, slowEvent)
 	var group conc.WaitGroup
 	for i := range 6 {
 		group.Go(func() {
--- a/assembler/stranded_test.go
+++ b/assembler/stranded_test.go
@@ -112,10 +112,13 @@
 		"most daemons, and refused": {4, 3, linksRefused},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, cut, others := strandedFleet(t, c.daemons, c.stranded, c.state)
+			f, cut, others := strandedFleet(t, c.daemons, c.stranded, c.state)
 			if cut.sent.Load() < 20 || others.served.Load() < 20 {
 				t.Fatal("too few requests")
 			}
+			if log := f.daemons[0].log.String(); c.state == linksRefused && strings.Contains(log, "strike") && !strings.Contains(log, "shows no crash") {
+				t.Error("a refused connection counted as the crash of a target")
+			}
 			if cut.share() < others.share()*2/3 {
 				t.Errorf("%.2f of the requests at daemons without links were served, %.2f at the others", cut.share(), others.share())
 			}
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -71,7 +71,7 @@
 		SoftwareRecorded: d.origins.versions.Recorded, Seed: rand.Uint64(), Logger: d.loggerFor("placer"),
 	})
 	v.attributor = attributor.New(attributor.Settings{
-		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.connector.Refuses, Now: time.Now,
+		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.targetRefuses, Now: time.Now,
 	})
 	v.declarations = tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: decodeDeclaration,
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -256,6 +256,19 @@
 	return response, nil
 }
 
+// Reach opens a connection to an address, which is closed again or used for the next request there. It returns an error if
+// that fails.
+func (c *Connector) Reach(ctx context.Context, address netip.AddrPort) (err error) {
+	defer Error.WrapP(&err)
+	conn, err := c.dial(ctx, poolKey{address: address})
+	if err != nil {
+		return err
+	}
+	conn.idleTimeout = c.settings.IdleTimeout
+	c.release(conn)
+	return nil
+}
+
 // Refuses reports whether nothing listens at an address: whether its host refuses a new connection, which is closed if it
 // does not.
 func (c *Connector) Refuses(ctx context.Context, address netip.AddrPort) bool {
@@ -421,6 +434,7 @@
 		r.connection.watch.stop()
 		r.connection.watch = nil
 		if contextActive && r.bodyComplete && r.keepAlive && r.writeSucceeded() && r.connection.reader.Buffered() == 0 {
+			r.connection.used = true
 			r.connector.release(r.connection)
 			return
 		}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -32,16 +32,24 @@
 		}
 		_ = conn.Close() // No request is open on it, so the error does not matter.
 	}
+	conn, err = c.dial(ctx, pool)
+	if err != nil {
+		return nil, err
+	}
+	conn.carry(request.Identity)
+	return conn, nil
+}
+
+// dial opens a connection.
+func (c *Connector) dial(ctx context.Context, pool poolKey) (*connection, error) {
 	opened, err := c.dialer.DialContext(ctx, "tcp", pool.address.String())
 	if err != nil {
 		return nil, err
 	}
 	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
-	conn = &connection{
+	return &connection{
 		Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool, carried: make(map[uint64]struct{}),
-	}
-	conn.carry(request.Identity)
-	return conn, nil
+	}, nil
 }
 
 // takeIdle removes the idle connection that was used last from the pool, among those that have not carried the identity, and
@@ -88,7 +96,6 @@
 	}
 	now := time.Now()
 	conn.idleDeadline = now.Add(conn.idleTimeout)
-	conn.used = true
 	c.idle[conn.pool] = append(idle, conn)
 	if now.Sub(c.sweptAt) >= sweepInterval {
 		c.sweptAt = now
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -242,8 +242,14 @@
 }
 
 func (a *Attempt) updateTarget(change func(t *target, now time.Time)) {
+	if a.target == nil {
+		return
+	}
 	p := a.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change(a.target, p.settings.Now())
 }
+
+// Unplaced returns an Attempt that concerns no target. It records nothing.
+func Unplaced() *Attempt { return &Attempt{finished: true} }
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -74,16 +74,20 @@
 // Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits.
 // It counts the work of the call at that target until Attempt.Finish is called. Targets that recently refused a request, whose
 // connection recently failed, whose answer is overdue or whose software's version is not recorded yet are considered only if no
-// other target can accept the call. Those that asked for time are not considered before its end. The error is a NoTargetError if
-// no target can accept the call, and a NotInTimeError if the first event is expected too late.
+// other target can accept the call. Those that asked for time are not considered before its end, and those that cannot be reached
+// not before they can. The error is an UnreachableError if this daemon reaches none of the targets, a NoTargetError if no target can
+// accept the call, and a NotInTimeError if the first event is expected too late.
 func (p *Placer) Choose(call Call, excluded []string) (choice Choice, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Now()
+	if p.unreachable(call, now) {
+		return Choice{}, &UnreachableError{Service: call.Service}
+	}
 	var best candidate
 	for _, allowed := range []func(*target) bool{
 		func(t *target) bool { return t.healthy(now) && p.settings.SoftwareRecorded(t.Service, t.Software) },
-		func(t *target) bool { return !t.upgradingUntil.After(now) },
+		func(t *target) bool { return !t.upgradingUntil.After(now) && !t.linkLost(now) },
 	} {
 		if best, err = p.bestCandidate(call, excluded, now, allowed); err == nil {
 			break
@@ -126,9 +130,9 @@
 }
 
 // healthy reports whether the weights of the target are not being upgraded and the target has not recently refused a
-// request, is not in backoff after a connection failure and has no overdue answer.
+// request, is not in backoff after a connection failure, can be reached and has no overdue answer.
 func (t *target) healthy(now time.Time) bool {
-	return !t.upgradingUntil.After(now) && !t.shedUntil.After(now) && !t.backoffUntil.After(now) && !t.answerOverdue(now)
+	return !t.upgradingUntil.After(now) && !t.shedUntil.After(now) && !t.backoffUntil.After(now) && !t.answerOverdue(now) && !t.linkLost(now)
 }
 
 // bestCandidate returns the candidate with the lowest cost among the allowed targets, or a NoTargetError if none of them
--- a/placer/target.go
+++ b/placer/target.go
@@ -99,6 +99,8 @@
 	oddPause           bool
 	backoffUntil       time.Time
 	connectionFailures int
+	// unreachableUntil is the time until which the target counts as unreachable from this daemon.
+	unreachableUntil time.Time
 	// foreignAnswers counts the answers in a row that did not show that the target gave them.
 	foreignAnswers int
 	// unansweredSince is when the answer timeout started: the time of the first request after the target's last answer.
--- a/proto/hosting/v1/hostingv1connect/hosting.connect.go
+++ b/proto/hosting/v1/hostingv1connect/hosting.connect.go
@@ -26,6 +26,8 @@
 	StoreServiceName = "hosting.v1.StoreService"
 	// OriginServiceName is the fully-qualified name of the OriginService service.
 	OriginServiceName = "hosting.v1.OriginService"
+	// RelayServiceName is the fully-qualified name of the RelayService service.
+	RelayServiceName = "hosting.v1.RelayService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -40,6 +42,8 @@
 	StoreServiceWatchProcedure = "/hosting.v1.StoreService/Watch"
 	// OriginServiceFindProcedure is the fully-qualified name of the OriginService's Find RPC.
 	OriginServiceFindProcedure = "/hosting.v1.OriginService/Find"
+	// RelayServiceRelayProcedure is the fully-qualified name of the RelayService's Relay RPC.
+	RelayServiceRelayProcedure = "/hosting.v1.RelayService/Relay"
 )
 
 // StoreServiceClient is a client for the hosting.v1.StoreService service.
@@ -185,3 +189,77 @@
 func (UnimplementedOriginServiceHandler) Find(context.Context, *connect.Request[v1.FindRequest]) (*connect.Response[v1.FindResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hosting.v1.OriginService.Find is not implemented"))
 }
+
+// RelayServiceClient is a client for the hosting.v1.RelayService service.
+type RelayServiceClient interface {
+	// Relay handles a request of a caller for a daemon that reaches no target of the service. The response begins with a head and ends
+	// with the answer's end; or it is a refusal. A call that fails later may have run the request.
+	Relay(context.Context, *connect.Request[v1.RelayRequest]) (*connect.ServerStreamForClient[v1.RelayResponse], error)
+}
+
+// NewRelayServiceClient constructs a client for the hosting.v1.RelayService service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayServiceMethods := v1.File_hosting_v1_hosting_proto.Services().ByName("RelayService").Methods()
+	return &relayServiceClient{
+		relay: connect.NewClient[v1.RelayRequest, v1.RelayResponse](
+			httpClient,
+			baseURL+RelayServiceRelayProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Relay")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayServiceClient implements RelayServiceClient.
+type relayServiceClient struct {
+	relay *connect.Client[v1.RelayRequest, v1.RelayResponse]
+}
+
+// Relay calls hosting.v1.RelayService.Relay.
+func (c *relayServiceClient) Relay(ctx context.Context, req *connect.Request[v1.RelayRequest]) (*connect.ServerStreamForClient[v1.RelayResponse], error) {
+	return c.relay.CallServerStream(ctx, req)
+}
+
+// RelayServiceHandler is an implementation of the hosting.v1.RelayService service.
+type RelayServiceHandler interface {
+	// Relay handles a request of a caller for a daemon that reaches no target of the service. The response begins with a head and ends
+	// with the answer's end; or it is a refusal. A call that fails later may have run the request.
+	Relay(context.Context, *connect.Request[v1.RelayRequest], *connect.ServerStream[v1.RelayResponse]) error
+}
+
+// NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayServiceHandler(svc RelayServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayServiceMethods := v1.File_hosting_v1_hosting_proto.Services().ByName("RelayService").Methods()
+	relayServiceRelayHandler := connect.NewServerStreamHandler(
+		RelayServiceRelayProcedure,
+		svc.Relay,
+		connect.WithSchema(relayServiceMethods.ByName("Relay")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/hosting.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayServiceRelayProcedure:
+			relayServiceRelayHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayServiceHandler struct{}
+
+func (UnimplementedRelayServiceHandler) Relay(context.Context, *connect.Request[v1.RelayRequest], *connect.ServerStream[v1.RelayResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("hosting.v1.RelayService.Relay is not implemented"))
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -134,6 +134,7 @@
 	if errors.As(err, &notSent) {
 		if ctx.Err() == nil {
 			choice.Attempt.RecordConnectionFailure()
+			choice.Attempt.RecordUnreachable()
 		}
 		return unsent
 	}
@@ -247,7 +248,7 @@
 // reserveRetry reports whether a request that failed at the target may be sent to another target, and
 // withdraws from the retry budget if so. If it returns false, forwardPlain forwards the failure to the caller.
 func (r *relayedRequest) reserveRetry() bool {
-	return r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts &&
+	return !r.delegated && r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts &&
 		r.relayer.settings.RetryBudget.TryWithdraw(r.service)
 }
 
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -53,6 +53,40 @@
 	placer         *placer.Placer
 	prompt         relayer.Prompt
 	tracer         trace.Tracer
+	// delegated is what another daemon does with calls that are passed on to it; nil if there is none. passedOn are those calls.
+	delegated *delegated
+	passedOn  []relayer.Call
+	// fromPeer makes the calls come from another daemon. deposits counts the credits for retries.
+	fromPeer bool
+	deposits int
+}
+
+// delegated is the answer of another daemon.
+type delegated struct {
+	err     error
+	refusal *relayer.Refusal
+	body    string
+	// truncated breaks the answer off.
+	truncated bool
+}
+
+// passingOn passes calls on for a harness.
+type passingOn struct{ *harness }
+
+func (p passingOn) Send(_ context.Context, _ string, call *relayer.Call) (*relayer.DelegatedAnswer, error) {
+	p.passedOn = append(p.passedOn, *call)
+	d := p.delegated
+	if d == nil {
+		return nil, &connector.UnsentError{Cause: errors.New("no daemon")}
+	}
+	if d.err != nil || d.refusal != nil {
+		return &relayer.DelegatedAnswer{Refusal: d.refusal}, d.err
+	}
+	body := io.Reader(strings.NewReader(d.body))
+	if d.truncated {
+		body = truncatingReader{body}
+	}
+	return &relayer.DelegatedAnswer{Daemon: "other", Response: connector.NewResponse(http.StatusOK, http.Header{}, io.NopCloser(body))}, nil
 }
 
 // targetBehaviour describes what a target does with a request.
@@ -147,7 +181,7 @@
 
 func (h *harness) Catalog() *cataloger.Catalog { return h.catalog }
 func (h *harness) ContactAge() time.Duration   { return h.contactAge }
-func (h *harness) Deposit(string)              {}
+func (h *harness) Deposit(string)              { h.deposits++ }
 func (h *harness) TryWithdraw(string) bool     { h.retryBudget--; return h.retryBudget >= 0 }
 
 func (h *harness) Verdict(causes []attributor.Cause) attributor.Verdict {
@@ -256,7 +290,7 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer,
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h},
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
@@ -266,7 +300,7 @@
 		defer func() { seen.aborted = recover() != nil }()
 		r.Relay(ctx, recorder, &relayer.Call{
 			ID: "1", Method: http.MethodPost, URI: path + "x", Path: path + "x", Host: host, Header: http.Header{}, Key: key, ArrivedAt: time.Now(),
-			Prompt: h.prompt,
+			Prompt: h.prompt, Delegated: h.fromPeer,
 		})
 	}()
 	seen.status, seen.body = recorder.Code, recorder.Body.String()
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -25,8 +25,10 @@
 	ReasonNotInTime Reason = "not_in_time"
 	// ReasonShed: the last attempted target rejected the request, and no target has run it.
 	ReasonShed Reason = "shed"
-	// ReasonUnreachable: no byte of the request was sent in the last attempt, and no target has run it.
+	// ReasonUnreachable: the daemon reaches no target, no other daemon took the request, and no target has run it.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonBusy: the daemon has too many requests that other daemons passed on to it.
+	ReasonBusy Reason = "busy"
 	// ReasonUnknownOrigin: the caller takes a stream up again, and it is not known which version of the targets' software began it.
 	ReasonUnknownOrigin Reason = "unknown_origin"
 	// ReasonCrashesTargets: targets crashed while they ran this request before. See CrashAttributor.
@@ -86,6 +88,12 @@
 // Stopping returns the refusal of a request that a stopping daemon no longer accepts.
 func Stopping() Refusal { return *unavailableHere(ReasonStopping, contactRetryAfter) }
 
+// Busy returns the refusal of a request of another daemon for which there is no room.
+func Busy() Refusal { return *unavailableHere(ReasonBusy, contactRetryAfter) }
+
+// Local reports whether the refusal concerns only the daemon that refuses, so that another one may serve the request.
+func (r Refusal) Local() bool { return r.CloseConnection || r.Reason == ReasonUnreachable }
+
 // denied returns a refusal of a request that the configuration does not allow.
 func denied(status int, reason Reason) *Refusal {
 	return &Refusal{Status: status, Reason: reason, NotRun: true}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -2,7 +2,8 @@
 //
 // For each request it checks whether the configuration allows it, chooses targets, decides after a failed
 // attempt whether to retry, and answers the caller. A request on a route that forbids retries is sent
-// again only if no byte of it was sent or its target reported that it did not run it. Refusal.NotRun is set
+// again only if no byte of it was sent or its target reported that it did not run it. If the daemon reaches no target, the request is
+// passed on to another daemon. Refusal.NotRun is set
 // only if no target can have run the request.
 //
 // # Usage
@@ -51,6 +52,8 @@
 	LastEventID string
 	Resumes     string
 	ArrivedAt   time.Time
+	// Delegated is set if another daemon, which reaches no target, passed the call on.
+	Delegated bool
 }
 
 // Prompt describes the prompt of a model call.
@@ -167,7 +170,7 @@
 	Find(ctx context.Context, stream recorder.Stream) (software string, known bool)
 }
 
-// Settings are the parameters of a Relayer. Origins, Crashes, Logger, Tracer and Observe are optional.
+// Settings are the parameters of a Relayer. Origins, Delegator, Crashes, Logger, Tracer and Observe are optional.
 type Settings struct {
 	Configuration Configuration
 	Placer        Placer
@@ -178,8 +181,10 @@
 	Memory *reserver.Budget
 	// Origins tells where streams may go on that callers take up again. Default: at any target.
 	Origins Origins
-	Crashes CrashAttributor
-	Logger  *slog.Logger
+	// Delegator passes calls on whose targets this daemon does not reach. Default: they are refused.
+	Delegator Delegator
+	Crashes   CrashAttributor
+	Logger    *slog.Logger
 	// Tracer creates a span for each request and for each of its attempts.
 	Tracer trace.Tracer
 	// ContactAgeLimits is called for each request, since the limits may change while the daemon runs.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -59,6 +59,9 @@
 	lastEventID string
 	// software is the version of the targets' software that began the stream; empty while any may begin it.
 	software string
+	// delegated is set once another daemon took the request, and delegatedTo is that daemon's name as far as it is known.
+	delegated   bool
+	delegatedTo string
 	// takenUp is the stream that the caller takes up, once it is known which version began it.
 	takenUp recorder.Stream
 	// headWritten is set once the status and the headers of an answer were forwarded. head are the headers of that answer, and
@@ -125,7 +128,9 @@
 		r.finish(refusal)
 		return
 	}
-	r.relayer.settings.RetryBudget.Deposit(r.service)
+	if !r.call.Delegated { // The daemon that passed it on has deposited for it.
+		r.relayer.settings.RetryBudget.Deposit(r.service)
+	}
 	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
 	defer cancel()
 	for {
@@ -146,6 +151,11 @@
 // refusal.
 func (r *relayedRequest) tryTarget(ctx context.Context) (ended bool, refusal *Refusal) {
 	choice, refusal := r.choose()
+	if refusal != nil && refusal.Reason == ReasonUnreachable {
+		if taken, delegatedRefusal := r.delegate(ctx); taken {
+			return true, delegatedRefusal
+		}
+	}
 	if refusal != nil && r.awaitTarget(ctx) {
 		return false, nil
 	}
@@ -162,6 +172,11 @@
 	r.brokenAt = time.Now()
 	r.logAttempt(result, attempted)
 	refusal = r.decideRetry(ctx, result, attempted)
+	if refusal != nil && refusal.Reason == ReasonUnreachable {
+		if taken, delegatedRefusal := r.delegate(ctx); taken {
+			return true, delegatedRefusal
+		}
+	}
 	return refusal != nil, refusal
 }
 
@@ -190,9 +205,13 @@
 	choice, err := r.relayer.settings.Placer.Choose(r.placerCall(), r.triedTargets)
 	var noTarget *placer.NoTargetError
 	var notInTime *placer.NotInTimeError
+	var unreachable *placer.UnreachableError
 	switch {
 	case err == nil:
 		return choice, nil
+	case errors.As(err, &unreachable):
+		r.cause = err
+		return placer.Choice{}, unavailable(ReasonUnreachable, unreachableRetryAfter)
 	case errors.As(err, &noTarget):
 		return placer.Choice{}, unavailable(ReasonNoTarget, noTarget.RetryAfter)
 	case errors.As(err, &notInTime):
@@ -299,6 +318,10 @@
 		r.abort = true
 		return
 	}
+	if writer, ok := r.writer.(RefusalWriter); ok {
+		writer.WriteRefusal(*refusal)
+		return
+	}
 	r.relayer.settings.Codec.Refuse(r.writer, *refusal)
 }
 
@@ -320,7 +343,9 @@
 	if r.route != nil {
 		route, outcome.CallKind = r.route.Name, r.route.CallKind
 	}
-	r.relayer.settings.Observe(outcome)
+	if !r.call.Delegated { // The daemon that passed it on counts it.
+		r.relayer.settings.Observe(outcome)
+	}
 	r.relayer.settings.Logger.Info("request",
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
 		"target", r.target, "software", r.choice.Target.Software, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
@@ -328,7 +353,7 @@
 		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace, "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
-		"rate_limit", r.rateLimit, "crashing", r.crashingName(), "cause", errorText(r.cause))
+		"rate_limit", r.rateLimit, "passed_to", r.delegatedTo, "passed_on", r.call.Delegated, "crashing", r.crashingName(), "cause", errorText(r.cause))
 }
 
 // lastSharedPart returns the id of the last part that other requests share, or the empty string if the prompt has only
