--- a/assembler/silent_host_test.go
+++ b/assembler/silent_host_test.go
@@ -21,7 +21,7 @@
 		f.store.Delete(fmt.Sprint("servers/engine-", i))
 		_ = engine.Close()
 		f.engines[i] = hostingemulator.NewTarget(hostingemulator.TargetSettings{
-			ID: fmt.Sprint("slow-", i), Service: "engines", Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: events, EventInterval: interval,
+			ID: fmt.Sprint("slow-", i), Service: "engines", Zone: "north", Store: f.store, Model: model, Slots: 8, StreamEvents: events, EventInterval: interval, RestartTime: restartTime,
 		})
 		if err := f.engines[i].Listen(netip.MustParseAddrPort(loopback)); err != nil {
 			f.t.Fatal(err)
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -54,6 +54,10 @@
 	// NamedLimit is the number of requests a second that the target names as its limit in all answers. It does not enforce
 	// the limit. Zero names none.
 	NamedLimit float64
+	// Brittle is the number of requests that the target may refuse in a second for want of room before it crashes. It says so in all
+	// answers; BrittleFrom is when it begins to crash. Zero disables this.
+	Brittle     float64
+	BrittleFrom time.Time
 	// SaysLeaving makes the target say in all answers that it is leaving. Its entry in the store stays as it is.
 	SaysLeaving bool
 	// RetryAfter makes the target refuse all requests with this value as the time after which it wants the next one. Empty
@@ -102,6 +106,9 @@
 	highestFencing uint64
 	runs           []Run
 	arrivals       []Arrival
+	// refusedAt are the times of the last refusals for want of room, and fallen is set from a crash for these until the restart.
+	refusedAt []time.Time
+	fallen    bool
 }
 
 // NewTarget returns a target with weights of version 1 that does not listen yet.
@@ -172,7 +179,7 @@
 func (t *Target) restart() {
 	t.mu.Lock()
 	closed := t.closed
-	t.startedUnixMS, t.changeSeq, t.highestFencing = time.Now().UnixMilli(), 0, 0
+	t.startedUnixMS, t.changeSeq, t.highestFencing, t.fallen = time.Now().UnixMilli(), 0, 0, false
 	t.mu.Unlock()
 	if closed || t.listener.Restart(t.handler()) != nil {
 		return
@@ -304,6 +311,9 @@
 	if t.faults.NamedLimit > 0 {
 		header.Set("Server-Limit", strconv.FormatFloat(t.faults.NamedLimit, 'f', -1, 64))
 	}
+	if t.faults.Brittle > 0 {
+		header.Set("Server-Brittle", strconv.FormatFloat(t.faults.Brittle, 'f', -1, 64))
+	}
 	expected := r.Header.Get("X-Expect-Version")
 	switch {
 	case r.Header.Get("X-Expect-Replica") != t.settings.ID:
@@ -319,6 +329,7 @@
 	case t.running >= t.settings.Slots || t.loadingVersion > 0:
 		header.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+		t.countRefusal()
 	default:
 		t.running++
 		t.runs = append(t.runs, Run{
@@ -330,6 +341,16 @@
 	return TargetFaults{}, 0, false
 }
 
+// countRefusal counts a refusal for want of room, and lets a brittle target crash if there were too many. The caller holds mu.
+func (t *Target) countRefusal() {
+	now := time.Now()
+	t.refusedAt = slices.DeleteFunc(append(t.refusedAt, now), func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	if t.faults.Brittle > 0 && !t.fallen && now.After(t.faults.BrittleFrom) && float64(len(t.refusedAt)) > t.faults.Brittle {
+		t.refusedAt, t.fallen = nil, true
+		go t.Crash()
+	}
+}
+
 // handleRequest handles requests of callers. A plain service responds with the method, the
 // URI and the body of the request, an engine with a stream.
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request) {
