placer, relayer, platform: targets that say that they are brittle get no more than their slots (LIMIT)

Targets that were brittle fell over again and again. Cause: each daemon sends until the target refuses it, so refusals grow with the daemons. Class: a limit of all is kept by each. Change: while answers of a service say so, each daemon has a part of each target's slots, together no more than these; a few daemons, others in each second, use a little more while few slots are taken; after a refusal a daemon leaves the target alone for 1.1 s. What finds no place is refused at once.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -34,6 +34,7 @@
 	}
 	a.work.pendingPrefill[call.Urgency] = best.prefillTokens + overheadTokens(call)
 	a.measurable = t.combinedWork().pendingPrefill.total() == 0 && best.fetchedTokens == 0
+	p.noteExtra(t, now)
 	t.localWork.add(a.work)
 	t.limit.take()
 	t.startAnswerTimeout(best.expected, now)
@@ -190,7 +191,7 @@
 func (a *Attempt) RecordRefusal() {
 	a.updateTarget(func(t *target, now time.Time) {
 		t.stopAnswerTimeout()
-		t.shedUntil = now.Add(shedPause)
+		t.shedUntil, t.refusedAt = now.Add(shedPause), now
 		a.forgetPlacement(t)
 	})
 }
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -156,6 +156,10 @@
 			retryAfter = min(cmp.Or(retryAfter, wait), wait)
 			continue
 		}
+		if wait := p.brittleWait(t, now); wait > 0 {
+			retryAfter = min(cmp.Or(retryAfter, wait), wait)
+			continue
+		}
 		if c := p.estimate(t, index); p.weightsUsable(c, call.Model, now) {
 			candidates = append(candidates, c)
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -201,6 +201,8 @@
 	byService map[string][]*target      // by service
 	peers     map[string]peer           // by the name that Import was given
 	byHash    map[TargetHash]*target
+	// brittle are the services whose targets say that they are brittle.
+	brittle map[string]brittleness
 	// departures are the incarnations that said that they are leaving.
 	departures map[TargetHash]*departure
 	rates      map[string]*prefillEstimator // by service
@@ -232,6 +234,7 @@
 		byService:        make(map[string][]*target),
 		peers:            make(map[string]peer),
 		byHash:           make(map[TargetHash]*target),
+		brittle:          make(map[string]brittleness),
 		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
 		store:            newPartStore(CacheStore{}),
--- a/placer/target.go
+++ b/placer/target.go
@@ -93,6 +93,10 @@
 	// upgradingUntil is the time until which the target gets no requests, because its weights are being upgraded.
 	upgradingUntil time.Time
 	shedUntil      time.Time
+	// refusedAt is when the target last refused a request of this daemon.
+	refusedAt time.Time
+	// extraAt is when this daemon last sent a request beyond its part of the slots while the target was brittle.
+	extraAt time.Time
 	// pausedUntil is the time until which the target wants no requests of this daemon, by its own word. oddPause is set if it
 	// has asked for time with a text that means none.
 	pausedUntil        time.Time
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -172,6 +172,13 @@
 		choice.Attempt.RecordNoRateLimit()
 	}
 	switch {
+	case answer.OtherTarget: // Nor does what it says of its brittleness.
+	case answer.Brittle >= 0:
+		choice.Attempt.RecordBrittle(answer.Brittle)
+	case !answer.NotRun:
+		choice.Attempt.RecordNotBrittle()
+	}
+	switch {
 	case answer.OtherTarget:
 		choice.Attempt.RecordTargetGone()
 	case answer.Weights > 0:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,6 +104,8 @@
 	// RateLimit is the number of requests a second that the target takes from all daemons together; negative if it names
 	// none.
 	RateLimit float64
+	// Brittle is the number of requests that the target can turn away in a second without a crash; negative if it names none.
+	Brittle float64
 	// Leaving is set if the target says that it is leaving.
 	Leaving bool
 	// RetryAfter is how long the target, which turned the request away, wants no requests of this daemon; zero if it asked for
