--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -58,6 +59,8 @@
 	origins  *recorder.Origins
 	versions *recorder.Versions
 	listed   []string
+	// outOfStep is set while the daemon hears nothing and nobody hears it, except that it reaches the store unless unread is set.
+	outOfStep, unread bool
 }
 
 // intN returns a random number below n.
@@ -169,7 +172,7 @@
 		apply, process := learn(d, w.item), d.versions
 		time.AfterFunc(time.Duration(w.random.Int64N(int64(newsDelay))), func() {
 			current := false
-			d.set(func() { current = d.alive && d.versions == process })
+			d.set(func() { current = d.alive && !d.outOfStep && d.versions == process })
 			if current {
 				apply()
 			}
@@ -200,7 +203,7 @@
 
 func (d *daemon) tell(to []netip.AddrPort, origin recorder.Origin) {
 	for _, address := range to {
-		if other := d.daemons[address.Port()-1]; other.isAlive() && d.intN(10) > 0 {
+		if other := d.daemons[address.Port()-1]; other.isAlive() && !d.isOutOfStep() && !other.isOutOfStep() && d.intN(10) > 0 {
 			other.knownOrigins().Import(origin)
 		}
 	}
@@ -209,13 +212,40 @@
 // Find implements recorder.Asker.
 func (d *daemon) Find(_ context.Context, address netip.AddrPort, stream uint64) (recorder.Origin, bool, error) {
 	other := d.daemons[address.Port()-1]
-	if !other.isAlive() {
+	if !other.isAlive() || d.isOutOfStep() || other.isOutOfStep() {
 		return recorder.Origin{}, false, errors.New("refused")
 	}
 	origin, known := other.knownOrigins().Known(stream)
 	return origin, known, nil
 }
 
+// List implements recorder.Store.
+func (d *daemon) List(_ context.Context, prefix, _ string) (page storer.Page, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down || d.unread {
+		return page, errors.New("down")
+	}
+	if d.item.Version != 0 && strings.HasPrefix(d.item.Key, prefix) {
+		page.Items = []storer.Item{d.item}
+	}
+	return page, nil
+}
+
+func (d *daemon) isOutOfStep() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.outOfStep
+}
+
+// step lets the daemon fall out of step, or in step again.
+func (d *daemon) step(outOfStep, unread bool) {
+	d.set(func() { d.outOfStep, d.unread = outOfStep, unread })
+	if !outOfStep && d.isAlive() {
+		d.list()
+	}
+}
+
 func (d *daemon) knownVersions() *recorder.Versions {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -304,6 +334,10 @@
 					older = w.stored()
 				case 5:
 					w.restore(older)
+				case 6:
+					w.randomDaemon().step(true, w.intN(2) == 0)
+				case 7:
+					w.randomDaemon().step(false, false)
 				default:
 					w.begin()
 					if err := w.takeUp(); err != nil {
@@ -317,6 +351,31 @@
 	}
 }
 
+// Guards against streams that are joined from two versions (ORDER): a daemon was out of step while a version joined, which it therefore
+// does not know, and the daemons that know the stream don't answer it.
+func TestDaemonOutOfStepJoinsNoStream(t *testing.T) {
+	for name, unread := range map[string]bool{"reaches the store": false, "reaches nobody": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, 3, "v1")
+				w.daemons[0].step(true, unread)
+				w.serve("v1", "v2")
+				time.Sleep(3 * time.Second)
+				stream := recorder.Stream{Service: service, Account: "a", ID: "1"}
+				w.daemons[1].origins.Record(stream, 1, "v2")
+				time.Sleep(time.Second)
+				if software, known := w.daemons[0].origins.Find(context.Background(), stream); known {
+					t.Errorf("a stream of v2 goes on at %s", software)
+				}
+				for _, d := range w.daemons {
+					d.stop()
+				}
+				time.Sleep(newsDelay)
+			})
+		})
+	}
+}
+
 // stored returns what the store has.
 func (w *world) stored() (item storer.Item) {
 	w.set(func() { item = w.item })
