recorder: one version counts as the only one once the store has confirmed it after the take-up came (ORDER)

Callers saw streams that went on with events of another software version. Cause: a daemon that did not know a stream let it go on where it knew one version, however old that knowledge was, and whether the daemons that it asked had answered or not. Class: knowledge without an age is used as proof. Change: before one version alone counts, its key is read from the store (linearizable) after the take-up has come. A version is written there before streams begin at it, so the read shows it. If the store doesn't answer, the take-up is refused. Reads of one service are shared by the take-ups that wait for them; only take-ups that nobody knows need one.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -5,7 +5,8 @@
 // ranker) before the stream can begin. A daemon that gets a take-up asks these. Nothing about single streams is written to the
 // store. If nobody knows the version, for example since all daemons were killed at once, the stream may go on only where one
 // version alone can have begun it. Versions tells which can: it keeps the versions of each service that serve or served lately in
-// the store, where they outlive all daemons.
+// the store, where they outlive all daemons, and are read there before one version counts as the only one: this daemon may have been out of
+// step while another one joined.
 //
 // # Usage
 //
@@ -178,8 +179,8 @@
 	return addresses
 }
 
-// Find returns the version of the targets' software that began the stream, or that alone can have begun it. known is false if
-// there are several.
+// Find returns the version of the targets' software that began the stream, or that alone can have begun it by what the store has now.
+// known is false if there are several, or if the store does not tell.
 func (o *Origins) Find(ctx context.Context, stream Stream) (software string, known bool) {
 	software, source := "", "nobody"
 	origin, found := o.Known(stream.hash())
@@ -194,7 +195,11 @@
 	}
 	possible := o.settings.Versions.Possible(stream.Service)
 	if !found && len(possible) == 1 {
-		software, source, found = possible[0], "one version", true
+		var confirmed bool
+		possible, confirmed = o.settings.Versions.PossibleNow(ctx, stream.Service)
+		if confirmed && len(possible) == 1 {
+			software, source, found = possible[0], "one version", true
+		}
 	}
 	o.settings.Logger.Info("origin of a stream", "stream", shortText(stream.ID), "service", stream.Service, "source", source, "software", software, "possible", possible)
 	return software, found
--- a/recorder/versions.go
+++ b/recorder/versions.go
@@ -33,6 +33,8 @@
 	removalMargin = 10 * time.Second
 	// commitTimeout bounds a call to the store.
 	commitTimeout = 2 * time.Second
+	// confirmTimeout bounds the time for which a take-up waits for the store.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // Store is the part of the platform's store that Versions needs.
@@ -40,6 +42,8 @@
 	// Commit applies the transaction atomically and returns the version of its changes. Its error is a storer.ConflictError if a
 	// condition does not hold.
 	Commit(ctx context.Context, transaction storer.Transaction) (storer.Version, error)
+	// List returns the first items under the prefix. What was written before the call is there.
+	List(ctx context.Context, prefix, after string) (storer.Page, error)
 }
 
 // VersionsSettings are the parameters of Versions.
@@ -64,6 +68,8 @@
 	started  time.Time
 	cancel   context.CancelFunc
 	tasks    conc.WaitGroup
+	// confirming is held during a read for a take-up. Others that wait for it use its result if it began late enough.
+	confirming sync.Mutex
 
 	mu       sync.Mutex
 	peers    []string
@@ -80,6 +86,8 @@
 	// listed is when a target of each version was last listed, and current are the versions of the targets now.
 	listed  map[string]time.Time
 	current map[string]bool
+	// confirmedAt is when the last read of the key for a take-up began.
+	confirmedAt time.Time
 	// differsSince is when the store was first found to differ; zero if it does not.
 	differsSince time.Time
 }
@@ -172,6 +180,47 @@
 	return slices.Sorted(maps.Keys(possible))
 }
 
+// PossibleNow returns the versions of Possible once the store has confirmed that it has no others now. confirmed is false if it did not
+// answer. What a daemon knows may be old: it may have been cut off, or have stood still, while a version joined.
+func (v *Versions) PossibleNow(ctx context.Context, name string) (possible []string, confirmed bool) {
+	asked := v.settings.Now()
+	v.confirming.Lock()
+	defer v.confirming.Unlock()
+	if !v.confirmedSince(name, asked) && !v.confirm(ctx, name) {
+		return nil, false
+	}
+	return v.Possible(name), true
+}
+
+// confirmedSince reports whether the versions of a service were read from the store after a time.
+func (v *Versions) confirmedSince(name string, since time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.service(name).confirmedAt.Before(since)
+}
+
+// confirm reads the versions of a service from the store.
+func (v *Versions) confirm(ctx context.Context, name string) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	began := v.settings.Now()
+	key := v.settings.Prefix + name
+	page, err := v.settings.Store.List(ctx, key, "")
+	if err != nil {
+		v.settings.Logger.Info("versions of the targets' software not confirmed", "service", name, "error", err)
+		return false
+	}
+	for _, item := range page.Items {
+		if item.Key == key {
+			v.apply(item)
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.service(name).confirmedAt = began
+	return true
+}
+
 // Recorded reports whether the store has a version of a service, so that daemons that start learn of it.
 func (v *Versions) Recorded(name, software string) bool {
 	v.mu.Lock()
