dialer: one constructor of clients for calls to other daemons; assembler: the soak cuts daemons' links; cmd/rilld: how processes ended

recorder, repeater and delegator built the same kind of client; the loop over the seeds of the soaks stood twice. A request that is passed on to a daemon of an earlier release, which does not take any, goes to the next one. processes_test logs how a process ended that the test did not end, for the failure that showed once (engine-2 gone before its SIGCONT).

--- a/assembler/soak_test.go
+++ b/assembler/soak_test.go
@@ -67,6 +67,12 @@
 // silent for a while: callers with kept connections use all kinds of routes. Each request is answered whole, or begun and cut at
 // its timeout; an answer may be a refusal, but no failure, since no target fails. Longer runs: RILL_SOAK_SEEDS="1 2 3" go test ./assembler -count=1 -timeout 1h -run TestSoakLosesNoRequest
 func TestSoakLosesNoRequest(t *testing.T) {
+	runSeeds(t, runSoak)
+}
+
+// runSeeds runs a soak with each seed of soakSeeds, or with one.
+func runSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
+	t.Helper()
 	seeds := strings.Fields(os.Getenv(soakSeeds))
 	if len(seeds) == 0 {
 		seeds = []string{"1"}
@@ -76,7 +82,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Run("seed "+text, func(t *testing.T) { runSoak(t, seed) })
+		t.Run("seed "+text, func(t *testing.T) { run(t, seed) })
 	}
 }
 
--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,14 +28,16 @@
 	maxTakeUps = 3
 	// cutTime is how long a target breaks off its streams.
 	cutTime = time.Second
+	// maxLinkCut is the longest time for which a daemon has no links to targets.
+	maxLinkCut = 4 * time.Second
 	// maxHostSilence is the longest time for which the host of a sound target is silent, and overlapTime how long a target may still
 	// work on a stream after it went on elsewhere.
 	maxHostSilence = 2 * time.Second
 	overlapTime    = 400 * time.Millisecond
 )
 
-// targetsSoak is a fleet whose targets come, leave, crash, fall silent and ask for time, while daemons are started anew and watches of the store
-// are cut or fall silent. The rules are checked by what reached the targets.
+// targetsSoak is a fleet whose targets come, leave, crash, fall silent and ask for time, while daemons are started anew or lose their links to
+// targets, and watches of the store are cut or fall silent. The rules are checked by what reached the targets.
 type targetsSoak struct {
 	*fleet
 	random *rand.Rand
@@ -74,17 +75,7 @@
 // that have left or asked for time (TWICE, ORDER, DRAIN, BUDGET), in random histories. Longer runs:
 // RILL_SOAK_SEEDS="1 2 3" go test ./assembler -count=1 -timeout 1h -run TestSoakOfTargetsKeepsRules
 func TestSoakOfTargetsKeepsRules(t *testing.T) {
-	seeds := strings.Fields(os.Getenv(soakSeeds))
-	if len(seeds) == 0 {
-		seeds = []string{"1"}
-	}
-	for _, text := range seeds {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Run("seed "+text, func(t *testing.T) { runTargetsSoak(t, seed) })
-	}
+	runSeeds(t, runTargetsSoak)
 }
 
 func runTargetsSoak(t *testing.T, seed uint64) {
@@ -147,7 +138,7 @@
 	if time.Now().Before(target.faultyUntil) {
 		return
 	}
-	switch s.random.IntN(10) {
+	switch s.random.IntN(12) {
 	case 0:
 		s.store.CutWatches()
 	case 1:
@@ -178,11 +169,22 @@
 			s.t.Errorf("%s cannot be made silent: %v", target.id, err)
 		}
 		target.faultyUntil = time.Now().Add(silence)
+	case 9, 10:
+		s.cutLinks(s.random.IntN(len(s.daemons)))
 	default:
 		s.restart(s.random.IntN(len(s.daemons)))
 	}
 }
 
+// cutLinks cuts the links of a daemon to all targets for a while.
+func (s *targetsSoak) cutLinks(i int) {
+	s.mu.Lock()
+	d := s.daemons[i]
+	s.mu.Unlock()
+	d.links.set(linksSilent + linkState(s.random.IntN(3)))
+	time.AfterFunc(time.Duration(s.random.Int64N(int64(maxLinkCut))), func() { d.links.set(linksWork) })
+}
+
 // restart ends a daemon at once, or lets it drain, and starts another one with its name.
 func (s *targetsSoak) restart(i int) {
 	s.mu.Lock()
--- a/cmd/rilld/processes_test.go
+++ b/cmd/rilld/processes_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,6 +30,9 @@
 	command *exec.Cmd
 	output  *lockedBuffer
 	done    chan struct{}
+	// ended is set before the test ends the process. state is how the process ended; it is set before done is closed.
+	ended atomic.Bool
+	state string
 }
 
 // lockedBuffer collects the output of a process from concurrent writers.
@@ -79,6 +83,10 @@
 	go func() {
 		defer close(started.done)
 		_ = started.command.Wait()
+		started.state = fmt.Sprintf("%s: %s at %s", name, started.command.ProcessState, time.Now().Format(time.StampMicro))
+		if !started.ended.Load() {
+			p.t.Logf("a process that the test did not end: %s (id %d)", started.state, started.command.Process.Pid)
+		}
 	}()
 }
 
@@ -93,6 +101,7 @@
 // kill sends SIGKILL to the named process and waits for its end.
 func (p *processes) kill(name string) {
 	p.t.Helper()
+	p.running[name].ended.Store(true)
 	p.signal(name, syscall.SIGKILL)
 	<-p.running[name].done
 	delete(p.running, name)
@@ -100,11 +109,12 @@
 
 func (p *processes) close() {
 	for name, running := range p.running {
+		running.ended.Store(true)
 		_ = running.command.Process.Signal(syscall.SIGCONT)
 		_ = running.command.Process.Kill()
 		<-running.done
 		if p.t.Failed() {
-			p.t.Logf("%s:\n%s", name, running.output)
+			p.t.Logf("%s, %s:\n%s", name, running.state, running.output)
 		}
 	}
 }
--- a/cmd/rilld/whole_test.go
+++ b/cmd/rilld/whole_test.go
@@ -229,6 +229,7 @@
 		time.Sleep(3 * time.Second)
 	}
 	result := f.streamDuring(1, "prompt while the daemon stops", func() {
+		f.running["daemon-2"].ended.Store(true)
 		f.signal("daemon-2", syscall.SIGTERM)
 		time.Sleep(100 * time.Millisecond)
 		response, err := http.Get("http://" + f.daemons[1].callers + "/readyz")
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -28,7 +28,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -39,6 +38,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/proto/hosting/v1/hostingv1connect"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
@@ -98,30 +98,14 @@
 	service string
 }
 
-// dialError is the error if no connection to a daemon could be opened.
-type dialError struct{ cause error }
-
-func (e *dialError) Error() string { return e.cause.Error() }
-func (e *dialError) Unwrap() error { return e.cause }
-
 // New returns a Delegator without peers.
 func New(settings Settings) *Delegator {
 	if settings.Alive == nil {
 		settings.Alive = func(Daemon) bool { return true }
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, &dialError{cause: err}
-		}
-		return conn, nil
-	}
 	return &Delegator{
 		settings: settings, open: make(map[netip.AddrPort]int), avoided: make(map[avoidedKey]time.Time),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerDaemon, IdleConnTimeout: idleConnectionTimeout, DisableCompression: true,
-		}},
+		http: dialer.NewPeerClient(dialer.PeerSettings{DialTimeout: dialTimeout, MaxIdle: maxIdlePerDaemon, IdleTimeout: idleConnectionTimeout}),
 	}
 }
 
@@ -245,8 +229,8 @@
 
 // classify returns the error for a call that got no answer.
 func classify(err error) error {
-	var dial *dialError
-	if errors.As(err, &dial) {
+	var dial *dialer.UnconnectedError
+	if errors.As(err, &dial) || connect.CodeOf(err) == connect.CodeUnimplemented { // An earlier release takes no requests.
 		return &connector.UnsentError{Cause: err}
 	}
 	return &connector.NoResponseError{Cause: err}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,5 +1,5 @@
 // Package dialer opens connections that count the bytes that they send and receive, or that are reset when they are closed before
-// the peer has got all of them. Unlike the sizes of message bodies, the counts include headers and so show the network traffic of
+// the peer has got all of them, and clients for calls to other daemons. Unlike the sizes of message bodies, the counts include headers and so show the network traffic of
 // a daemon.
 //
 // # Usage
--- a/recorder/remote.go
+++ b/recorder/remote.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/proto/hosting/v1/hostingv1connect"
 )
@@ -38,10 +38,7 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerDaemon, IdleConnTimeout: idleConnectionTimeout, DisableCompression: true,
-	}}}
+	return &Client{http: dialer.NewPeerClient(dialer.PeerSettings{DialTimeout: dialTimeout, MaxIdle: maxIdlePerDaemon, IdleTimeout: idleConnectionTimeout})}
 }
 
 // Find asks a daemon for the origin of a stream.
--- a/repeater/repeater.go
+++ b/repeater/repeater.go
@@ -21,7 +21,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -29,6 +28,7 @@
 	"connectrpc.com/connect"
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/proto/hosting/v1/hostingv1connect"
 	"github.com/rosemaryrill/rosemaryrill/storer"
@@ -96,10 +96,7 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerDaemon, IdleConnTimeout: idleConnectionTimeout, DisableCompression: true,
-	}}}
+	return &Client{http: dialer.NewPeerClient(dialer.PeerSettings{DialTimeout: dialTimeout, MaxIdle: maxIdlePerDaemon, IdleTimeout: idleConnectionTimeout})}
 }
 
 // Watch asks a daemon for its changes.
