--- a/placer/link.go
+++ b/placer/link.go
@@ -71,6 +71,19 @@
 	return suspects, others
 }
 
+// UnreachableCount returns the number of targets that accept requests and cannot be reached.
+func (p *Placer) UnreachableCount() (count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Now()
+	for _, t := range p.targets {
+		if p.accepts(t) && t.linkLost(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Neighbours returns the addresses of some other targets than that at an address, at most count.
 func (p *Placer) Neighbours(address netip.AddrPort, count int) (addresses []netip.AddrPort) {
 	p.mu.Lock()
