relayer, delegator: attempts to begin a stream are counted over daemons (ORDER)

A daemon without links had recorded its own attempts, and the daemon that took the request counted its from one, so the holders kept the version of an attempt that never began the stream. The number of earlier attempts goes along; a daemon that is asked second counts those that the first one may have made.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -133,12 +133,12 @@
 func (d *Delegator) Send(ctx context.Context, service string, call *relayer.Call) (answer *relayer.DelegatedAnswer, err error) {
 	defer Error.WrapP(&err)
 	err = &connector.UnsentError{Cause: errNoDaemon}
-	for range maxTries {
+	for offers := range maxTries {
 		daemon, found := d.take(service)
 		if !found {
 			return nil, err
 		}
-		answer, err = d.offer(ctx, daemon, call)
+		answer, err = d.offer(ctx, daemon, call, offers)
 		var unsent *connector.UnsentError
 		if !errors.As(err, &unsent) || ctx.Err() != nil {
 			return answer, err
@@ -190,8 +190,8 @@
 	d.settings.Logger.Info("daemon takes no requests", "daemon", daemon.Name, "service", service, "for", avoidance, "error", cause)
 }
 
-// offer sends the call to a daemon. A refusal for a reason of that daemon's own is an UnsentError.
-func (d *Delegator) offer(ctx context.Context, daemon Daemon, call *relayer.Call) (answer *relayer.DelegatedAnswer, err error) {
+// offer sends the call to a daemon, after offers to others. A refusal for a reason of that daemon's own is an UnsentError.
+func (d *Delegator) offer(ctx context.Context, daemon Daemon, call *relayer.Call, offers int) (answer *relayer.DelegatedAnswer, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	end := sync.OnceFunc(func() {
 		cancel()
@@ -203,7 +203,7 @@
 		}
 	}()
 	client := hostingv1connect.NewRelayServiceClient(d.http, "http://"+daemon.Address.String(), connect.WithAcceptCompression("gzip", nil, nil))
-	stream, err := client.Relay(ctx, connect.NewRequest(d.encode(ctx, call)))
+	stream, err := client.Relay(ctx, connect.NewRequest(d.encode(ctx, call, offers)))
 	if err == nil && !stream.Receive() {
 		err = cmp.Or(stream.Err(), errNoHead)
 	}
--- a/delegator/message.go
+++ b/delegator/message.go
@@ -39,12 +39,14 @@
 	return header
 }
 
-func (d *Delegator) encode(ctx context.Context, call *relayer.Call) *hostingv1.RelayRequest {
+// encode encodes a call that was offered to a number of other daemons before, each of which may have made all its attempts.
+func (d *Delegator) encode(ctx context.Context, call *relayer.Call, offers int) *hostingv1.RelayRequest {
 	header := d.settings.Header(call)
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(header))
 	return &hostingv1.RelayRequest{
 		Method: call.Method, Uri: call.URI, Host: call.Host, Headers: encodeHeaders(header), Body: call.Body,
 		Chunked: call.Chunked, AgeMs: uint64(max(d.settings.Now().Sub(call.ArrivedAt), 0).Milliseconds()),
+		EarlierAttempts: uint32(call.EarlierAttempts + offers*relayer.MaxAttempts),
 	}
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -255,7 +255,7 @@
 // reserveRetry reports whether a request that failed at the target may be sent to another target, and
 // withdraws from the retry budget if so. If it returns false, forwardPlain forwards the failure to the caller.
 func (r *relayedRequest) reserveRetry() bool {
-	return !r.delegated && r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts &&
+	return !r.delegated && r.route.Retryable() && r.runs < r.route.MaxAttempts && r.attempts < MaxAttempts &&
 		r.relayer.settings.RetryBudget.TryWithdraw(r.service)
 }
 
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/placer"
+	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/seeder"
 )
@@ -59,8 +60,20 @@
 	// fromPeer makes the calls come from another daemon. deposits counts the credits for retries.
 	fromPeer bool
 	deposits int
+	// earlierAttempts is how many attempts other daemons made before, and recorded the numbers of the attempts to begin streams.
+	earlierAttempts int
+	recorded        []int
 }
 
+// recording records the origins of streams for a harness.
+type recording struct{ *harness }
+
+func (r recording) Record(_ recorder.Stream, attempt int, _ string) {
+	r.recorded = append(r.recorded, attempt)
+}
+
+func (recording) Find(context.Context, recorder.Stream) (string, bool) { return "", true }
+
 // delegated is the answer of another daemon.
 type delegated struct {
 	err     error
@@ -290,7 +303,7 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h},
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
@@ -300,7 +313,7 @@
 		defer func() { seen.aborted = recover() != nil }()
 		r.Relay(ctx, recorder, &relayer.Call{
 			ID: "1", Method: http.MethodPost, URI: path + "x", Path: path + "x", Host: host, Header: http.Header{}, Key: key, ArrivedAt: time.Now(),
-			Prompt: h.prompt, Delegated: h.fromPeer,
+			Prompt: h.prompt, Delegated: h.fromPeer, EarlierAttempts: h.earlierAttempts,
 		})
 	}()
 	seen.status, seen.body = recorder.Code, recorder.Body.String()
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -53,6 +53,6 @@
 func (r *relayedRequest) recordOrigin(target placer.Target) {
 	isNew := r.route.CallKind == cataloger.CallStream && !r.isTakeUp() && !r.headWritten
 	if origins := r.relayer.settings.Origins; origins != nil && isNew {
-		origins.Record(r.stream(), r.attempts, target.Software)
+		origins.Record(r.stream(), r.call.EarlierAttempts+r.attempts, target.Software)
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -54,6 +54,8 @@
 	ArrivedAt   time.Time
 	// Delegated is set if another daemon, which reaches no target, passed the call on.
 	Delegated bool
+	// EarlierAttempts is how many attempts other daemons may have made before. The last attempt to begin a stream counts.
+	EarlierAttempts int
 }
 
 // Prompt describes the prompt of a model call.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request, including those that targets reject.
-	maxAttempts = 4
+	// MaxAttempts bounds the attempts of one request at one daemon, including those that targets reject.
+	MaxAttempts = 4
 	// responseMargin is the time before the deadline that is reserved for sending the answer to the caller.
 	responseMargin = 10 * time.Millisecond
 	// shedRetryAfter is the retry delay for requests that no target has run and for which the placer returned no
@@ -266,12 +266,12 @@
 		return unavailable(ReasonNotInTime, shedRetryAfter)
 	case result == failedAtTarget:
 		return nil // reserveRetry has already withdrawn from the retry budget.
-	case result == unsent && r.attempts < maxAttempts:
+	case result == unsent && r.attempts < MaxAttempts:
 		return nil
 	case result == unsent && r.runs == 0:
 		return unavailable(ReasonUnreachable, shedRetryAfter)
 	case result == rejected && r.runs == 0:
-		if r.attempts < maxAttempts && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
+		if r.attempts < MaxAttempts && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
 			return nil
 		}
 		return unavailable(ReasonShed, shedRetryAfter)
@@ -279,7 +279,7 @@
 	if result == broken {
 		r.recordBroken(choice.Target)
 	}
-	mayRetry := r.route.Retryable() && r.mayGoOn() && r.runs < r.route.MaxAttempts && r.attempts < maxAttempts
+	mayRetry := r.route.Retryable() && r.mayGoOn() && r.runs < r.route.MaxAttempts && r.attempts < MaxAttempts
 	if mayRetry && r.relayer.settings.RetryBudget.TryWithdraw(r.service) {
 		return nil
 	}
