--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +18,8 @@
 )
 
 const (
+	// soakLogs is the environment variable with the directory for the logs of a failed seed.
+	soakLogs = "RILL_SOAK_LOGS"
 	// targetsSoakTime is how long one seed runs, and targetsSoakCallers the number of callers.
 	targetsSoakTime    = 15 * time.Second
 	targetsSoakCallers = 24
@@ -52,6 +56,7 @@
 	// disturbedAt is when a watch was last disturbed, and restarts counts the starts of daemons after the first.
 	disturbances []time.Time
 	restarts     int
+	ended        []*daemon
 	targetCount  int
 }
 
@@ -105,6 +110,21 @@
 	}
 	group.Wait()
 	s.check()
+	s.keepLogs(seed)
+}
+
+// keepLogs writes the logs of all daemons of a failed seed to the directory that soakLogs names.
+func (s *targetsSoak) keepLogs(seed uint64) {
+	directory := os.Getenv(soakLogs)
+	if !s.t.Failed() || directory == "" {
+		return
+	}
+	for i, d := range append(s.ended, s.daemons...) {
+		path := filepath.Join(directory, fmt.Sprintf("seed-%d-daemon-%d.log", seed, i))
+		if err := os.WriteFile(path, []byte(d.log.String()), 0o600); err != nil {
+			s.t.Error(err)
+		}
+	}
 }
 
 // add starts a target with a random version of its software.
@@ -192,6 +212,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.daemons[i] = fresh
+	s.ended = append(s.ended, old)
 	s.restarts++
 	s.disturbances = append(s.disturbances, time.Now())
 }
