--- a/assembler/links_test.go
+++ b/assembler/links_test.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 // links are the connections of one daemon to targets, which a test can cut.
@@ -38,7 +40,7 @@
 		return syscall.ECONNREFUSED
 	case linksSilent:
 		l.sockets = append(l.sockets, socket)
-		return controlSocket(socket, dropAll)
+		return listener.Drop(socket)
 	}
 	l.sockets = append(l.sockets, socket)
 	return nil
@@ -54,11 +56,12 @@
 		var err error
 		switch state {
 		case linksSilent:
-			err = controlSocket(socket, dropAll)
+			err = listener.Drop(socket)
 		case linksRefused:
-			err = controlSocket(socket, func(descriptor int) error { return unix.Shutdown(descriptor, unix.SHUT_RDWR) })
+			controlErr := socket.Control(func(descriptor uintptr) { err = unix.Shutdown(int(descriptor), unix.SHUT_RDWR) })
+			err = errors.Join(controlErr, err)
 		default:
-			err = controlSocket(socket, dropNothing)
+			err = listener.Deliver(socket)
 		}
 		if err == nil {
 			open = append(open, socket)
@@ -66,22 +69,3 @@
 	}
 	l.sockets = open
 }
-
-func controlSocket(socket syscall.RawConn, change func(descriptor int) error) (err error) {
-	controlErr := socket.Control(func(descriptor uintptr) { err = change(int(descriptor)) })
-	return errors.Join(controlErr, err)
-}
-
-// dropAll makes the kernel drop what arrives at a socket before TCP sees it.
-func dropAll(descriptor int) error {
-	program := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
-	return unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &program})
-}
-
-// dropNothing ends dropAll. Without a filter there is nothing to end.
-func dropNothing(descriptor int) error {
-	if err := unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0); !errors.Is(err, unix.ENOENT) {
-		return err
-	}
-	return nil
-}
--- a/assembler/soak_test.go
+++ b/assembler/soak_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,14 +18,13 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+	"github.com/rosemaryrill/rosemaryrill/seeder"
 )
 
 const (
 	// soakTime is how long one seed runs, and soakCallers the number of callers.
 	soakTime    = 15 * time.Second
 	soakCallers = 48
-	// soakSeeds is the environment variable with the seeds of a longer run, separated by blanks.
-	soakSeeds = "RILL_SOAK_SEEDS"
 	// soakTimeout is the timeout of each request, and answerSlack how long after it its answer may come.
 	soakTimeout = 6 * time.Second
 	answerSlack = time.Second
@@ -67,23 +65,7 @@
 // silent for a while: callers with kept connections use all kinds of routes. Each request is answered whole, or begun and cut at
 // its timeout; an answer may be a refusal, but no failure, since no target fails. Longer runs: RILL_SOAK_SEEDS="1 2 3" go test ./assembler -count=1 -timeout 1h -run TestSoakLosesNoRequest
 func TestSoakLosesNoRequest(t *testing.T) {
-	runSeeds(t, runSoak)
-}
-
-// runSeeds runs a soak with each seed of soakSeeds, or with one.
-func runSeeds(t *testing.T, run func(t *testing.T, seed uint64)) {
-	t.Helper()
-	seeds := strings.Fields(os.Getenv(soakSeeds))
-	if len(seeds) == 0 {
-		seeds = []string{"1"}
-	}
-	for _, text := range seeds {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Run("seed "+text, func(t *testing.T) { run(t, seed) })
-	}
+	seeder.Soak(t, runSoak)
 }
 
 func runSoak(t *testing.T, seed uint64) {
--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+	"github.com/rosemaryrill/rosemaryrill/seeder"
 )
 
 const (
@@ -77,7 +78,7 @@
 // that have left or asked for time (TWICE, ORDER, DRAIN, BUDGET), in random histories. Longer runs:
 // RILL_SOAK_SEEDS="1 2 3" go test ./assembler -count=1 -timeout 1h -run TestSoakOfTargetsKeepsRules
 func TestSoakOfTargetsKeepsRules(t *testing.T) {
-	runSeeds(t, runTargetsSoak)
+	seeder.Soak(t, runTargetsSoak)
 }
 
 func runTargetsSoak(t *testing.T, seed uint64) {
--- a/cmd/rilld/front_soak_test.go
+++ b/cmd/rilld/front_soak_test.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,11 +15,10 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+	"github.com/rosemaryrill/rosemaryrill/seeder"
 )
 
 const (
-	// frontSoakSeeds is the environment variable with the seeds of a longer run, separated by blanks.
-	frontSoakSeeds   = "RILL_SOAK_SEEDS"
 	frontSoakTime    = 15 * time.Second
 	frontSoakCallers = 16
 	// maxStandstill is the longest time for which a process is stopped or a target's host is silent.
@@ -47,17 +44,7 @@
 // Guards against requests that run twice though they must run once, or that run although they were refused and streams at two targets at once (TWICE,
 // REFUSED), with real processes. Longer runs: RILL_SOAK_SEEDS="1 2 3" go test ./cmd/rilld -count=1 -timeout 1h -run TestFrontProcessesKeepRules
 func TestFrontProcessesKeepRules(t *testing.T) {
-	seeds := strings.Fields(os.Getenv(frontSoakSeeds))
-	if len(seeds) == 0 {
-		seeds = []string{"1"}
-	}
-	for _, text := range seeds {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Run("seed "+text, func(t *testing.T) { runFrontSoak(t, seed) })
-	}
+	seeder.Soak(t, runFrontSoak)
 }
 
 func runFrontSoak(t *testing.T, seed uint64) {
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -121,7 +121,7 @@
 			t.Parallel()
 			var target listener.Listener
 			var requests atomic.Int64
-			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body) // The answer tells if it fails.
 				if r.URL.Path == "/warm" {
 					return
--- a/listener/silence.go
+++ b/listener/silence.go
@@ -15,11 +15,15 @@
 	defer Error.WrapP(&err)
 	l.Pause(duration)
 	for _, socket := range l.openSockets() {
-		if controlErr := control(socket, dropAll); controlErr != nil {
-			err = errors.Join(err, controlErr)
+		raw, socketErr := socket.SyscallConn()
+		if socketErr == nil {
+			socketErr = Drop(raw)
+		}
+		if socketErr != nil {
+			err = errors.Join(err, socketErr)
 			continue
 		}
-		time.AfterFunc(duration, func() { _ = control(socket, dropNothing) }) // Fails only if it was closed meanwhile.
+		time.AfterFunc(duration, func() { _ = Deliver(raw) }) // Fails only if it was closed meanwhile.
 	}
 	return err
 }
@@ -56,21 +60,25 @@
 	}
 }
 
-func control(socket syscall.Conn, change func(descriptor int) error) (err error) {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return err
-	}
-	controlErr := raw.Control(func(descriptor uintptr) { err = change(int(descriptor)) })
-	return errors.Join(controlErr, err)
+// Drop makes the kernel drop what arrives at a TCP socket before TCP sees it, so that nothing is acknowledged, until Deliver is called.
+func Drop(socket syscall.RawConn) error {
+	program := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
+	return control(socket, func(descriptor int) error {
+		return unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &program})
+	})
 }
 
-// dropAll makes the kernel drop what arrives at a socket before TCP sees it.
-func dropAll(descriptor int) error {
-	program := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
-	return unix.SetsockoptSockFprog(descriptor, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &program})
+// Deliver ends Drop. It does nothing if nothing is dropped.
+func Deliver(socket syscall.RawConn) error {
+	return control(socket, func(descriptor int) error {
+		if err := unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0); !errors.Is(err, unix.ENOENT) {
+			return err
+		}
+		return nil
+	})
 }
 
-func dropNothing(descriptor int) error {
-	return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+func control(socket syscall.RawConn, change func(descriptor int) error) (err error) {
+	controlErr := socket.Control(func(descriptor uintptr) { err = change(int(descriptor)) })
+	return errors.Join(controlErr, err)
 }
