prober, delegator: other targets are probed only while none answers; a stop waits for the answers to cancelled requests

A target that answers shows that the daemon's links work. Drain returned before the requests that it cancelled were answered.

--- a/delegator/handler.go
+++ b/delegator/handler.go
@@ -60,6 +60,9 @@
 	return hostingv1connect.NewRelayServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
+// answerTime is how long Drain waits for the answers to cancelled requests.
+const answerTime = 300 * time.Millisecond
+
 // Drain refuses further requests and waits for the open ones. Those that are open when ctx ends are cancelled with
 // relayer.ErrStopping, which answers them.
 func (h *Handler) Drain(ctx context.Context) {
@@ -80,6 +83,10 @@
 		(*cancel)(relayer.ErrStopping)
 	}
 	h.mu.Unlock()
+	select {
+	case <-h.idle:
+	case <-time.After(answerTime):
+	}
 }
 
 // begin counts a request, unless there are too many or the daemon stops.
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -147,6 +147,7 @@
 	defer p.mu.Unlock()
 	a.target.localWork.add(work{pendingPrefill: a.work.pendingPrefill}.negated())
 	a.target.connectionFailures, a.target.foreignAnswers = 0, 0
+	p.answeredAt = p.settings.Now()
 	a.target.stopAnswerTimeout()
 	for _, key := range a.addedParts {
 		a.target.cached.setAvailableAt(key, time.Time{})
@@ -192,6 +193,7 @@
 	a.updateTarget(func(t *target, now time.Time) {
 		t.stopAnswerTimeout()
 		t.shedUntil, t.refusedAt = now.Add(shedPause), now
+		a.placer.answeredAt = now
 		a.forgetPlacement(t)
 	})
 }
--- a/placer/link.go
+++ b/placer/link.go
@@ -52,23 +52,32 @@
 	}
 }
 
-// Suspects returns the targets to which the link may be lost: those to which connections fail, and those that owe an answer for too
-// long. others are the rest.
-func (p *Placer) Suspects() (suspects, others []Suspect) {
+// Links are the targets by what is known of the links to them.
+type Links struct {
+	// Suspects are the targets to which the link may be lost: those to which connections fail, and those that owe an answer for too
+	// long. Others are the rest.
+	Suspects, Others []Suspect
+	// AnsweredAt is when a target last answered a request of this daemon.
+	AnsweredAt time.Time
+}
+
+// Links returns the targets that accept requests by what is known of the links to them.
+func (p *Placer) Links() (links Links) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Now()
+	links.AnsweredAt = p.answeredAt
 	for _, t := range p.targets {
 		s := Suspect{Target: t.hash, Address: t.Address, Failed: t.linkLost(now) || t.backoffUntil.After(now)}
 		switch {
 		case !p.accepts(t):
 		case s.Failed || t.answerOverdue(now):
-			suspects = append(suspects, s)
+			links.Suspects = append(links.Suspects, s)
 		default:
-			others = append(others, s)
+			links.Others = append(links.Others, s)
 		}
 	}
-	return suspects, others
+	return links
 }
 
 // UnreachableCount returns the number of targets that accept requests and cannot be reached.
--- a/placer/link_test.go
+++ b/placer/link_test.go
@@ -34,8 +34,8 @@
 	if _, err := choose(); !errors.As(err, &unreachable) {
 		t.Errorf("got %v, want an UnreachableError", err)
 	}
-	if suspects, others := p.Suspects(); len(suspects) != 2 || len(others) != 1 {
-		t.Errorf("suspects %v, others %v", suspects, others)
+	if links := p.Links(); len(links.Suspects) != 2 || len(links.Others) != 1 {
+		t.Errorf("links %+v", links)
 	}
 	p.RecordLink(targets[0].Hash(), true)
 	if got, err := choose(); got != "a" {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -201,6 +201,8 @@
 	byService map[string][]*target      // by service
 	peers     map[string]peer           // by the name that Import was given
 	byHash    map[TargetHash]*target
+	// answeredAt is when a target last answered a request.
+	answeredAt time.Time
 	// brittle are the services whose targets say that they are brittle.
 	brittle map[string]brittleness
 	// departures are the incarnations that said that they are leaving.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -2,7 +2,7 @@
 //
 // A target that owes an answer, or whose connection broke, may be in trouble itself, or the link to it may be lost. Opening a
 // connection tells them apart. The Prober does so for the targets that are suspect, and reports the result. If it reaches none of
-// several, the daemon's own links may be lost, so it tries the others too before requests have to.
+// several, and no target answers, the daemon's own links may be lost, so it tries the others too before requests have to.
 //
 // # Usage
 //
@@ -35,14 +35,16 @@
 	slowInterval   = time.Second
 	// maxProbes bounds the probes of one round.
 	maxProbes = 24
-	// minUnreached is the number of suspects of which none is reached before the others are probed too.
+	// minUnreached is the number of suspects of which none is reached before the others are probed too, and quietTime the time
+	// without an answer of any target.
 	minUnreached = 2
+	quietTime    = 250 * time.Millisecond
 )
 
 // Targets knows the targets and which of them are suspect.
 type Targets interface {
-	// Suspects returns the targets to which the link may be lost, and the others.
-	Suspects() (suspects, others []placer.Suspect)
+	// Links returns the targets by what is known of the links to them.
+	Links() placer.Links
 	// RecordLink records whether a target could be reached.
 	RecordLink(target placer.TargetHash, reached bool)
 }
@@ -91,13 +93,13 @@
 	}
 }
 
-// Round probes the suspects that are due, and all other targets if none of several suspects is reached.
+// Round probes the suspects that are due. If none of several is reached and no target has answered lately, it probes the others too.
 func (p *Prober) Round(ctx context.Context) {
-	suspects, others := p.settings.Targets.Suspects()
-	p.forget(suspects, others)
-	probed, reached := p.probe(ctx, suspects)
-	if probed >= minUnreached && reached == 0 {
-		p.probe(ctx, others)
+	links := p.settings.Targets.Links()
+	p.forget(links.Suspects, links.Others)
+	probed, reached := p.probe(ctx, links.Suspects)
+	if probed >= minUnreached && reached == 0 && p.settings.Now().Sub(links.AnsweredAt) >= quietTime {
+		p.probe(ctx, links.Others)
 	}
 }
 
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -17,7 +17,7 @@
 // world knows which targets are suspect and which are reached.
 type world struct {
 	mu               sync.Mutex
-	now              time.Time
+	now, answeredAt  time.Time
 	suspects, others []placer.Suspect
 	unreached        map[netip.AddrPort]bool
 	probed           []placer.TargetHash
@@ -33,7 +33,9 @@
 	return w, prober.New(prober.Settings{Targets: w, Reach: w.reach, Now: func() time.Time { return w.now }, Logger: slog.New(slog.DiscardHandler)})
 }
 
-func (w *world) Suspects() (suspects, others []placer.Suspect) { return w.suspects, w.others }
+func (w *world) Links() placer.Links {
+	return placer.Links{Suspects: w.suspects, Others: w.others, AnsweredAt: w.answeredAt}
+}
 
 func (w *world) RecordLink(target placer.TargetHash, reached bool) { w.links[target] = reached }
 
@@ -86,6 +88,17 @@
 	}
 }
 
+// Guards against probes of all targets whenever a few have crashed.
+func TestOthersAreNotProbedWhileTargetsAnswer(t *testing.T) {
+	w, p := newWorld()
+	w.suspects, w.others = []placer.Suspect{suspect(1, true), suspect(2, true)}, []placer.Suspect{suspect(3, false)}
+	w.unreached[suspect(1, true).Address], w.unreached[suspect(2, true).Address] = true, true
+	w.answeredAt = w.now.Add(-100 * time.Millisecond)
+	if got := w.round(t, p); len(got) != 2 {
+		t.Errorf("probed %v, want the suspects", got)
+	}
+}
+
 func TestProbesAreSpacedOut(t *testing.T) {
 	w, p := newWorld()
 	w.suspects = []placer.Suspect{suspect(1, true), suspect(2, false)}
--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -13,8 +13,8 @@
 // unreachable makes all targets of a harness unreachable.
 func (h *harness) unreachable(t *testing.T) {
 	t.Helper()
-	suspects, others := h.placer.Suspects()
-	for _, s := range append(suspects, others...) {
+	links := h.placer.Links()
+	for _, s := range append(links.Suspects, links.Others...) {
 		h.placer.RecordLink(s.Target, false)
 	}
 }
