--- a/cmd/rilld/front_soak_test.go
+++ b/cmd/rilld/front_soak_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,9 +22,18 @@
 	frontSoakCallers = 16
 	// maxStandstill is the longest time for which a process is stopped or a target's host is silent.
 	maxStandstill = 2500 * time.Millisecond
-	frontHost     = "app.example"
 )
 
+// frontConfiguration has a route for each kind of request.
+var frontConfiguration = hostingemulator.Configuration{
+	Version: 3, Host: "app.example", Key: "key", Model: "m", Timeout: 4 * time.Second,
+	Routes: []hostingemulator.Route{
+		{Name: "order", Kind: "non_idempotent", Service: "services"},
+		{Name: "look", Kind: "idempotent", Service: "services"},
+		{Name: "ask", Kind: "streaming", Service: "engines"},
+	},
+}
+
 // frontSoak is a fleet of rilld front processes that are stopped, continued, ended and started, among targets that fall silent or are
 // cut off within streams.
 type frontSoak struct {
@@ -56,7 +64,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.store.Close() })
-	s.configure()
+	s.store.PutConfiguration(frontConfiguration)
 	for i := range 3 {
 		s.addTarget(fmt.Sprint("engine-", i), "engines", "m")
 		s.addTarget(fmt.Sprint("service-", i), "services", "")
@@ -78,29 +86,6 @@
 	s.check()
 }
 
-func (s *frontSoak) configure() {
-	var routes []any
-	for name, kind := range map[string]string{"order": "non_idempotent", "look": "idempotent", "ask": "streaming"} {
-		service := "services"
-		if kind == "streaming" {
-			service = "engines"
-		}
-		routes = append(routes, map[string]any{
-			"name": name, "host": frontHost, "prefix": "/" + name + "/", "kind": kind, "service": service, "timeoutMs": 4000, "targetLatencyMs": 1000,
-			"targetGapMs": 500, "maxAttempts": 2, "priority": 0, "sticky": kind == "streaming", "resumable": kind == "streaming",
-		})
-	}
-	s.store.Put("op/config", map[string]any{
-		"version": 3, "routes": routes,
-		"services": []any{
-			map[string]any{"name": "engines", "maxConnections": 50, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": "m"}}}},
-			map[string]any{"name": "services", "maxConnections": 50},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "account", "apiKeys": []string{"key"}, "isolated": false}},
-	})
-}
-
 func (s *frontSoak) addTarget(id, service, model string) {
 	target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
 		ID: id, Service: service, Zone: "north", Store: s.store, Model: model, Slots: 6, StreamEvents: 5, EventInterval: 60 * time.Millisecond,
@@ -162,14 +147,14 @@
 func (s *frontSoak) callUntil(random *rand.Rand, name string, end time.Time) {
 	client := &http.Client{Timeout: 6 * time.Second}
 	for n := 0; time.Now().Before(end); n++ {
-		id, route := fmt.Sprintf("%s-%d", name, n), []string{"order", "look", "ask"}[random.IntN(3)]
+		id, route := fmt.Sprintf("%s-%d", name, n), frontConfiguration.Routes[random.IntN(len(frontConfiguration.Routes))]
 		s.mu.Lock()
 		address := s.callers[random.IntN(len(s.callers))]
-		s.once[id] = route == "order"
+		s.once[id] = route.Name == "order"
 		s.mu.Unlock()
 		status := send(client, address, route, id)
 		s.mu.Lock()
-		s.results[fmt.Sprint(route, " ", status)]++
+		s.results[fmt.Sprint(route.Name, " ", status)]++
 		s.refused[id] = status == http.StatusServiceUnavailable
 		s.mu.Unlock()
 		time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
@@ -177,20 +162,11 @@
 }
 
 // send sends a request and returns the status of its answer, or zero if there was none.
-func send(client *http.Client, address, route, id string) (status int) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+route+"/x", strings.NewReader("body"))
+func send(client *http.Client, address string, route hostingemulator.Route, id string) (status int) {
+	request, err := frontConfiguration.NewRequest(address, route, id)
 	if err != nil {
 		return 0
 	}
-	request.Host = frontHost
-	for name, value := range map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "4000", "Authorization": "Token key"} {
-		request.Header.Set(name, value)
-	}
-	if route == "ask" {
-		for name, value := range map[string]string{"X-Model": "m", "X-Token-Count": "300,6", "X-Prompt-Prefix": "ab:200,cd:100"} {
-			request.Header.Set(name, value)
-		}
-	}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
