review: case 7, the last tenant's end switches the check of keys off

Cause: keys are required only while the configuration lists a tenant; an empty list opens all routes.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -24,7 +25,9 @@
 	prompt, tokens string
 	lastEventID    string
 	resumes        string
-	deadline       time.Duration
+	// key is the client's API key; empty for that of the first configuration.
+	key      string
+	deadline time.Duration
 }
 
 // event is one event of a stream.
@@ -57,7 +60,7 @@
 	}
 	request.Host = host
 	for name, value := range map[string]string{
-		"X-Request-Id": c.id, "X-Deadline-Ms": strconv.FormatInt(c.deadline.Milliseconds(), 10), "Authorization": "Token " + apiKey,
+		"X-Request-Id": c.id, "X-Deadline-Ms": strconv.FormatInt(c.deadline.Milliseconds(), 10), "Authorization": "Token " + cmp.Or(c.key, apiKey),
 		"X-Prompt-Prefix": c.prompt, "X-Token-Count": c.tokens, "Last-Event-Id": c.lastEventID, "Resumes": c.resumes,
 	} {
 		if value != "" {
@@ -103,8 +106,23 @@
 	}
 }
 
-// putConfiguration writes a configuration as the operator does: a streaming route that may be resumed, and a plain one.
+// tenant is a tenant of a configuration.
+type tenant struct {
+	name string
+	keys []string
+}
+
+// putConfiguration writes the first configuration, with one tenant.
 func (w *world) putConfiguration(version int) {
+	w.putTenants(version, tenant{"tenant-1", []string{apiKey}})
+}
+
+// putTenants writes a configuration as the operator does: a streaming route that may be resumed, a plain one, and tenants.
+func (w *world) putTenants(version int, tenants ...tenant) {
+	listed := []any{}
+	for _, t := range tenants {
+		listed = append(listed, map[string]any{"name": t.name, "apiKeys": t.keys, "priority": 1, "isolated": false})
+	}
 	w.store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": []any{
@@ -128,7 +146,7 @@
 			map[string]any{"name": "orders", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "tenant-1", "apiKeys": []string{apiKey}, "priority": 1, "isolated": false}},
+		"tenants": listed,
 	})
-	w.note("configuration %d written", version)
+	w.note("configuration %d written, tenants %v", version, tenants)
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 	"take-up-after-cut":  takeUpAfterCut,
 	"take-up-of-cut-off": takeUpOfCutOff,
 	"long-bodies":        longBodies,
+	"last-tenant":        lastTenant,
 }
 
 // longestCase bounds the time of a case.
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -22,11 +22,11 @@
 	events            int
 }
 
-// run is a request that a replica ran.
+// ranRequest is a request that a replica ran.
 type ranRequest struct {
-	id, replica, software, resumedAfter string
-	began, ended                        time.Time
-	whole                               bool
+	id, replica, software, resumedAfter, tenant string
+	began, ended                                time.Time
+	whole                                       bool
 }
 
 // replica is a sound replica as PROTOCOL.md describes it.
@@ -157,7 +157,8 @@
 	header.Set("X-Response-Seal", r.id+"-"+request.Header.Get("X-Request-Id"))
 	header.Set("X-Replica-Load", fmt.Sprintf("%d,0,%d", r.running, r.slots))
 	ran := &ranRequest{
-		id: request.Header.Get("X-Request-Id"), replica: r.id, software: r.software, resumedAfter: request.Header.Get("Last-Event-Id"), began: time.Now(),
+		id: request.Header.Get("X-Request-Id"), replica: r.id, software: r.software, resumedAfter: request.Header.Get("Last-Event-Id"),
+		tenant: request.Header.Get("X-Tenant"), began: time.Now(),
 	}
 	r.ran = append(r.ran, ran)
 	return ran
