review: case 10, a removed replica gets requests behind silent channels

Cause: a watch on a silent channel and the next call on another one last so long that they count as an outage of the store.

--- a/review/standin2/link.go
+++ b/review/standin2/link.go
@@ -17,12 +17,14 @@
 	isCut       bool
 	listener    net.Listener
 	connections map[net.Conn]struct{}
-	datagrams   *net.UDPConn
+	// quiet is closed when the connections that are open fall silent.
+	quiet     chan struct{}
+	datagrams *net.UDPConn
 }
 
 // newLink opens a link to an address. Peers also get datagrams over it.
 func newLink(remote netip.AddrPort, withDatagrams bool) (l *link, err error) {
-	l = &link{remote: remote, connections: make(map[net.Conn]struct{})}
+	l = &link{remote: remote, connections: make(map[net.Conn]struct{}), quiet: make(chan struct{})}
 	if l.local, err = freeAddress(); err != nil {
 		return nil, err
 	}
@@ -76,6 +78,35 @@
 	}
 }
 
+// silence makes the connections that are open silent for good: nothing passes any more, and they aren't closed. New ones work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.quiet)
+	l.quiet = make(chan struct{})
+}
+
+// silencer passes on what is read until the connection falls silent.
+type silencer struct {
+	net.Conn
+	quiet <-chan struct{}
+}
+
+// Read implements io.Reader. It returns nothing once the connection is silent, and an error once that is closed.
+func (s silencer) Read(p []byte) (n int, err error) {
+	for {
+		n, err = s.Conn.Read(p)
+		select {
+		case <-s.quiet:
+			if err != nil {
+				return 0, err
+			}
+		default:
+			return n, err
+		}
+	}
+}
+
 // heal lets connections and datagrams pass again.
 func (l *link) heal() error { return l.open() }
 
@@ -110,13 +141,16 @@
 	}
 	defer l.forget(near)
 	defer l.forget(far)
+	l.mu.Lock()
+	quiet := l.quiet
+	l.mu.Unlock()
 	var both sync.WaitGroup
 	for _, pair := range [][2]net.Conn{{near, far}, {far, near}} {
 		both.Add(1)
 		go func() {
 			defer both.Done()
 			from, to := pair[0], pair[1]
-			if _, err := io.Copy(to, from); err != nil { // A reset on one side is one on the other side.
+			if _, err := io.Copy(to, silencer{from, quiet}); err != nil { // A reset on one side is one on the other side.
 				if tcp, ok := to.(*net.TCPConn); ok {
 					_ = tcp.SetLinger(0)
 				}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,10 +25,11 @@
 type trouble struct{ cut, kill bool }
 
 var scenarios = map[string]scenario{
-	"take-up-after-cut":  takeUpAfterCut,
-	"take-up-of-cut-off": takeUpOfCutOff,
-	"long-bodies":        longBodies,
-	"last-tenant":        lastTenant,
+	"take-up-after-cut":      takeUpAfterCut,
+	"take-up-of-cut-off":     takeUpOfCutOff,
+	"long-bodies":            longBodies,
+	"last-tenant":            lastTenant,
+	"leaving-behind-silence": leavingBehindSilence,
 }
 
 // longestCase bounds the time of a case.
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -44,6 +44,8 @@
 	ran     []*ranRequest
 	// silentUntil is when the replica goes on after a silence.
 	silentUntil time.Time
+	// gone is set once the entry is removed for good.
+	gone bool
 }
 
 // addReplica starts a replica, which registers itself and writes its entry again with each heartbeat.
@@ -93,6 +95,10 @@
 
 func (r *replica) writeEntry() {
 	r.mu.Lock()
+	if r.gone {
+		r.mu.Unlock()
+		return
+	}
 	r.seq++
 	entry := map[string]any{
 		"service": r.service, "address": r.address.String(), "zone": r.zone, "version": r.software, "slots": r.slots, "state": "ready",
@@ -237,3 +243,12 @@
 	defer r.mu.Unlock()
 	return max(time.Until(r.silentUntil), 0)
 }
+
+// leave removes the entry of a replica that leaves without a word. It goes on serving for a while.
+func (r *replica) leave() {
+	r.mu.Lock()
+	r.gone = true
+	r.mu.Unlock()
+	r.world.store.Delete("servers/" + r.id)
+	r.world.note("entry of replica %s removed", r.id)
+}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -69,20 +70,40 @@
 	return errors.Join(append(errs, w.store.Close(), w.record.Close(), os.RemoveAll(w.folder))...)
 }
 
-// freeAddress returns a loopback address whose port is free for TCP and UDP.
+const (
+	// firstPort and lastPort are below the ports that the system gives to outgoing connections, so that none of these takes a port
+	// between its choice and its use.
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+var (
+	givenPorts   = make(map[int]bool)
+	givenPortsMu sync.Mutex
+)
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP, and was not returned before.
 func freeAddress() (netip.AddrPort, error) {
-	for range 50 {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	givenPortsMu.Lock()
+	defer givenPortsMu.Unlock()
+	for range 200 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		if givenPorts[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp4", address.String())
 		if err != nil {
-			return netip.AddrPort{}, err
+			continue
 		}
-		address := listener.Addr().(*net.TCPAddr).AddrPort()
-		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 		_ = listener.Close()
-		if err == nil {
-			_ = socket.Close()
-			return address, nil
+		socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			continue
 		}
+		_ = socket.Close()
+		givenPorts[port] = true
+		return address, nil
 	}
 	return netip.AddrPort{}, errors.New("no free port")
 }
@@ -99,6 +120,8 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	log     *os.File
+	// toStore is the link to the store.
+	toStore *link
 }
 
 // addDaemon starts a daemon with a view of the store of its own.
@@ -114,6 +137,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.toStore, err = newLink(store, false); err != nil {
+		return nil, err
+	}
+	w.links = append(w.links, d.toStore)
 	d.config = filepath.Join(w.folder, name+".jsonc")
 	// What deploy/settings.jsonc.tmpl renders to for a small deployment.
 	settings := fmt.Sprintf(`{
@@ -126,7 +153,7 @@
     "retry_ratio": 0.2, "retry_burst": 58,
   },
 }
-`, name, zone, d.callers, d.peers, operators, store, d.ready, metrics, memoryMB)
+`, name, zone, d.callers, d.peers, operators, d.toStore.local, d.ready, metrics, memoryMB)
 	if err := os.WriteFile(d.config, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
