review: the records tell runs and answers too

Cause: the records of cases 8 to 10 left out what replicas ran. Added: lines of runs and answers in review/standin2; new records.

--- a/review/standin2/bodies.go
+++ b/review/standin2/bodies.go
@@ -109,7 +109,8 @@
 			}()
 		}
 		all.Wait()
-		for _, a := range answers {
+		for i, a := range answers {
+			w.note("request b%d-%02d of %d bytes to %s: status %d, whole %v, error %v", wave, i, bodyBytes, daemons[i%len(daemons)].name, a.status, a.whole, a.err)
 			if a.status != 0 && a.whole {
 				answered++
 			} else {
@@ -121,6 +122,7 @@
 	}
 	cancel()
 	guards.Wait()
+	w.noteRuns("b")
 	w.note("kills %v, most memory %.0f MB; %d requests answered, %d not", kills, peaks, answered, lost)
 	if kills[0] >= 3 && kills[1] >= 3 {
 		breaches = append(breaches, fmt.Sprintf("Fault: processes on two machines ended %d and %d times for memory over the limit, %d requests got no answer", kills[0], kills[1], lost))
--- a/review/standin2/leaving.go
+++ b/review/standin2/leaving.go
@@ -69,7 +69,7 @@
 			return 0, err
 		}
 	}
-	sent := &sentTimes{at: make(map[string]time.Time)}
+	sent := &sentTimes{at: make(map[string]time.Time), answers: make(map[int]int)}
 	ctx, stop := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	defer clients.Wait()
@@ -81,7 +81,7 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				c := call{id: fmt.Sprintf("r%d-c%d-%d", round+1, i, n), method: "POST", path: "/order/x", body: "order", deadline: 600 * time.Millisecond}
 				sent.note(c.id)
-				send(ctx, daemons[(i+n)%len(daemons)].callers, c)
+				sent.answered(send(ctx, daemons[(i+n)%len(daemons)].callers, c))
 				time.Sleep(15 * time.Millisecond)
 			}
 		}()
@@ -98,8 +98,9 @@
 	leaving.leave()
 	left := time.Now()
 	time.Sleep(lingering)
-	latest := time.Duration(0)
-	for _, ran := range leaving.runs() {
+	latest, runs := time.Duration(0), leaving.runs()
+	w.note("round %d: %s; %s ran %d of them, the last one %s", round+1, sent, leaving.id, len(runs), lastID(runs))
+	for _, ran := range runs {
 		at := sent.of(ran.id)
 		if at.Sub(left) > drainTime && at.Sub(silent) > contactTime {
 			tooLate++
@@ -112,10 +113,24 @@
 	return tooLate, nil
 }
 
-// sentTimes remembers when clients sent their requests.
+// sentTimes remembers when clients sent their requests, and counts their answers by status; zero stands for none.
 type sentTimes struct {
-	mu sync.Mutex
-	at map[string]time.Time
+	mu      sync.Mutex
+	at      map[string]time.Time
+	answers map[int]int
+}
+
+func (s *sentTimes) answered(a answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[a.status]++
+}
+
+// String counts what was sent and answered.
+func (s *sentTimes) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d requests sent, answers by status %v", len(s.at), s.answers)
 }
 
 func (s *sentTimes) note(id string) {
@@ -129,3 +144,10 @@
 	defer s.mu.Unlock()
 	return s.at[id]
 }
+
+func lastID(runs []ranRequest) string {
+	if len(runs) == 0 {
+		return "none"
+	}
+	return runs[len(runs)-1].id
+}
--- a/review/standin2/takeup.go
+++ b/review/standin2/takeup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,13 +111,7 @@
 			joined++
 		}
 	}
-	for _, r := range replicas {
-		for _, ran := range r.runs() {
-			if strings.HasPrefix(ran.id, "s") {
-				w.note("run of %s at %s (%s) after event %q, whole %v", ran.id, ran.replica, ran.software, ran.resumedAfter, ran.whole)
-			}
-		}
-	}
+	w.noteRuns("s")
 	w.note("%d of %d streams ended whole, %d hold events of two software versions; more than two break the rule", whole, streams, joined)
 	if !t.cut && !t.kill && whole < streams {
 		return nil, fmt.Errorf("only %d of %d streams were whole without the disruption", whole, streams)
@@ -264,7 +259,9 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			fresh[i] = send(context.Background(), daemons[1+i%2].callers, queryCall(fmt.Sprintf("n%02d", i), 100+i, queryTime))
+			c, d := queryCall(fmt.Sprintf("n%02d", i), 100+i, queryTime), daemons[1+i%2]
+			fresh[i] = send(context.Background(), d.callers, c)
+			w.note("new stream %s at %s: status %d, %d events, whole %v, error %v", c.id, d.name, fresh[i].status, len(fresh[i].events), fresh[i].whole, fresh[i].err)
 		}()
 	}
 	all.Wait()
@@ -284,6 +281,7 @@
 			began++
 		}
 	}
+	w.noteRuns("s", "n")
 	w.note("%d of %d streams that were taken up went on; %d of %d new streams began at the same daemons", wentOn, taken, began, streams)
 	if !t.kill && taken > 0 {
 		return nil, fmt.Errorf("%d streams broke without the disruption", taken)
@@ -293,3 +291,14 @@
 	}
 	return breaches, nil
 }
+
+// noteRuns writes into the record what replicas ran of the requests whose ids begin so.
+func (w *world) noteRuns(prefixes ...string) {
+	for _, r := range w.replicas {
+		for _, ran := range r.runs() {
+			if slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(ran.id, prefix) }) {
+				w.note("run of %s at %s (%s) after event %q, whole %v", ran.id, ran.replica, ran.software, ran.resumedAfter, ran.whole)
+			}
+		}
+	}
+}
