--- a/assembler/delegation.go
+++ b/assembler/delegation.go
@@ -95,7 +95,7 @@
 		refuseDelegated(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true})
 		return
 	}
-	call.Delegated, call.Chunked, call.EarlierAttempts = true, request.Chunked, request.EarlierAttempts
+	call.Delegated, call.Chunked = true, request.Chunked
 	e.relayer.Relay(otel.GetTextMapPropagator().Extract(ctx, propagation.HeaderCarrier(request.Header)), w, call)
 }
 
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -34,7 +34,7 @@
 	fieldRateLimit    protowire.Number = 13
 	fieldDeparture    protowire.Number = 14
 	// fieldOrigin is the origin of a stream. Its submessage has the version of the software in place of a model, the number of the
-	// attempt in place of a version, and the stream as fieldExtra.
+	// origin in place of a version, and the stream as fieldExtra.
 	fieldOrigin protowire.Number = 15
 
 	fieldTarget        protowire.Number = 1
@@ -131,7 +131,7 @@
 		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
 	}
 	for _, origin := range m.Origins {
-		datagram = appendModel(datagram, fieldOrigin, origin.Software, uint64(max(origin.Attempt, 0)), origin.Stream)
+		datagram = appendModel(datagram, fieldOrigin, origin.Software, origin.Number(), origin.Stream)
 	}
 	datagram = appendMembers(datagram, m.Members)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
@@ -393,7 +393,7 @@
 }
 
 func (s submessage) origin() recorder.Origin {
-	return recorder.Origin{Stream: s.numbers[fieldExtra], Software: s.text, Attempt: s.count(fieldVersion)}
+	return recorder.OriginOf(s.numbers[fieldExtra], s.text, s.numbers[fieldVersion])
 }
 
 func (s submessage) announcedVersion() placer.AnnouncedVersion {
--- a/delegator/handler.go
+++ b/delegator/handler.go
@@ -26,8 +26,6 @@
 	Body      []byte
 	Chunked   bool
 	ArrivedAt time.Time
-	// EarlierAttempts is how many attempts other daemons may have made before.
-	EarlierAttempts int
 }
 
 // HandlerSettings are the parameters of a Handler.
@@ -127,7 +125,6 @@
 	h.settings.Serve(ctx, w, Request{
 		Method: message.GetMethod(), URI: message.GetUri(), Host: message.GetHost(), Header: decodeHeaders(message.GetHeaders()),
 		Body: message.GetBody(), Chunked: message.GetChunked(), ArrivedAt: h.settings.Now().Add(-milliseconds(message.GetAgeMs())),
-		EarlierAttempts: int(message.GetEarlierAttempts()),
 	})
 	return w.err
 }
--- a/delegator/message.go
+++ b/delegator/message.go
@@ -46,7 +46,7 @@
 	return &hostingv1.RelayRequest{
 		Method: call.Method, Uri: call.URI, Host: call.Host, Headers: encodeHeaders(header), Body: call.Body,
 		Chunked: call.Chunked, AgeMs: uint64(max(d.settings.Now().Sub(call.ArrivedAt), 0).Milliseconds()),
-		EarlierAttempts: uint32(call.EarlierAttempts + offers*relayer.MaxAttempts),
+		EarlierAttempts: uint32(offers * relayer.MaxAttempts),
 	}
 }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,8 +1,10 @@
 // Package recorder remembers which version of the targets' software began each stream, so that a caller who takes a stream up
 // again, perhaps at another daemon, gets the rest from the same version: what two versions write does not fit together.
 //
-// A daemon that sends a new stream to a target tells the target's version to the first daemons in the stream's order (see package
-// ranker) before the stream can begin. A daemon that gets a take-up asks these. Nothing about single streams is written to the
+// What begins a stream is its first event at the caller. The daemon that is about to pass it on tells the target's version to the first
+// daemons in the stream's order (see package ranker). An attempt without an event is told to nobody, since the next one may go to another
+// version. So a request has one origin for all time, and a message that is lost can't make another one of it. A daemon that gets a
+// take-up asks the first daemons. Nothing about single streams is written to the
 // store. If nobody knows the version, for example since all daemons were killed at once, the stream may go on only where one
 // version alone can have begun it. Versions tells which can: it keeps the versions of each service that serve or served lately in
 // the store, where they outlive all daemons, and are read there before one version counts as the only one: this daemon may have been out of
@@ -12,7 +14,7 @@
 //
 //	versions := recorder.NewVersions(recorder.VersionsSettings{Name: name, Store: store})
 //	origins := recorder.NewOrigins(recorder.OriginsSettings{Versions: versions, Send: send, Ask: ask})
-//	origins.Record(stream, 1, target.Software)
+//	origins.Record(stream, target.Software)
 //	software, known := origins.Find(ctx, stream)
 //	if !known {
 //		// Refuse the take-up.
@@ -62,13 +64,31 @@
 	return xxh3.HashString(s.Service + "\x00" + s.Account + "\x00" + s.ID)
 }
 
-// Origin is the version of the targets' software to which a stream was sent.
+// Origin is the version of the targets' software that began a stream.
 type Origin struct {
 	// Stream is the hash of the stream's identity.
 	Stream   uint64
 	Software string
-	// Attempt is the number of the attempt to begin the stream. The last one counts.
-	Attempt int
+	// Began is set if the caller got the first event from there. Daemons of older releases tell each attempt to begin a stream; these
+	// are not set, and don't count.
+	Began bool
+}
+
+// beganNumber stands for Began in messages, in the place in which older releases have the number of an attempt. It is larger than any of
+// these, and for these releases the largest number counts.
+const beganNumber = 1 << 30
+
+// OriginOf returns the origin in a message, whose number is that of an attempt or beganNumber.
+func OriginOf(stream uint64, software string, number uint64) Origin {
+	return Origin{Stream: stream, Software: software, Began: number >= beganNumber}
+}
+
+// Number returns the number that stands for the origin in messages.
+func (o Origin) Number() uint64 {
+	if o.Began {
+		return beganNumber
+	}
+	return 0
 }
 
 // Daemon is another daemon.
@@ -118,22 +138,26 @@
 	o.peers = slices.Clone(peers)
 }
 
-// Record records that an attempt to begin a stream is sent to a version of the targets' software, and tells other daemons.
-func (o *Origins) Record(stream Stream, attempt int, software string) {
-	origin := Origin{Stream: stream.hash(), Software: software, Attempt: attempt}
+// Record records the version of the targets' software that began a stream, and tells other daemons. A stream without an id can't be taken
+// up and isn't recorded.
+func (o *Origins) Record(stream Stream, software string) {
+	if stream.ID == "" {
+		return
+	}
+	origin := Origin{Stream: stream.hash(), Software: software, Began: true}
 	o.Import(origin)
 	if holders := o.holders(origin.Stream, told); len(holders) > 0 {
 		o.settings.Send(holders, origin)
 	}
 }
 
-// Import records what another daemon has told.
+// Import records what another daemon has told. Attempts that may have begun nothing are passed over.
 func (o *Origins) Import(origins ...Origin) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, origin := range origins {
-		o.rotate()
-		if known, found := o.lookUp(origin.Stream); !found || known.Attempt <= origin.Attempt {
+		if origin.Began {
+			o.rotate()
 			o.recent[origin.Stream] = origin
 		}
 	}
@@ -219,7 +243,7 @@
 	for _, holder := range o.holders(stream, asked) {
 		calls.Go(func() {
 			answer, answered, err := o.settings.Ask.Find(ctx, holder, stream)
-			if err != nil || !answered {
+			if err != nil || !answered || !answer.Began {
 				return
 			}
 			first.Do(func() {
--- a/recorder/remote.go
+++ b/recorder/remote.go
@@ -30,7 +30,7 @@
 // Find serves a call of another daemon.
 func (h handler) Find(_ context.Context, request *connect.Request[hostingv1.FindRequest]) (*connect.Response[hostingv1.FindResponse], error) {
 	origin, known := h.origins.Known(request.Msg.GetStream())
-	return connect.NewResponse(&hostingv1.FindResponse{Known: known, Software: origin.Software, Attempt: uint32(origin.Attempt)}), nil
+	return connect.NewResponse(&hostingv1.FindResponse{Known: known, Software: origin.Software, Attempt: uint32(origin.Number())}), nil
 }
 
 // Client asks other daemons.
@@ -49,7 +49,7 @@
 	if err != nil {
 		return Origin{}, false, err
 	}
-	return Origin{Stream: stream, Software: response.Msg.GetSoftware(), Attempt: int(response.Msg.GetAttempt())}, response.Msg.GetKnown(), nil
+	return OriginOf(stream, response.Msg.GetSoftware(), uint64(response.Msg.GetAttempt())), response.Msg.GetKnown(), nil
 }
 
 // Close closes the idle connections.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -30,7 +30,6 @@
 		defer timer.release()
 		ctx, r.startTimer = timedCtx, timer
 	}
-	r.recordOrigin(choice.Target)
 	request := r.relayer.settings.Codec.Request(r.call, r.newAttempt(choice))
 	request.PeerTimeout = r.peerTimeout()
 	response, err := r.relayer.settings.Targets.Send(ctx, choice.Target.Address, request)
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -83,7 +83,6 @@
 // delegatedCall returns the call with the place from which its stream goes on.
 func (r *relayedRequest) delegatedCall() *Call {
 	call := *r.call
-	call.EarlierAttempts = r.attempts
 	if r.lastEventID != "" {
 		call.LastEventID, call.Resumes = r.lastEventID, r.firstID()
 	}
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -49,10 +49,11 @@
 	return nil
 }
 
-// recordOrigin records the version of the target's software before a new stream is sent to it.
+// recordOrigin records the version of the software that begins a new stream, just before the caller gets its first event. An attempt
+// without an event has begun nothing: the next one may come from another version. If another daemon took the request, that one records it.
 func (r *relayedRequest) recordOrigin(target placer.Target) {
-	isNew := r.route.CallKind == cataloger.CallStream && !r.isTakeUp() && !r.headWritten
-	if origins := r.relayer.settings.Origins; origins != nil && isNew {
-		origins.Record(r.stream(), r.call.EarlierAttempts+r.attempts, target.Software)
+	begins := !r.headWritten && !r.isTakeUp() && !r.delegated
+	if origins := r.relayer.settings.Origins; origins != nil && begins {
+		origins.Record(r.stream(), target.Software)
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -54,8 +54,6 @@
 	ArrivedAt   time.Time
 	// Delegated is set if another daemon, which reaches no target, passed the call on.
 	Delegated bool
-	// EarlierAttempts is how many attempts other daemons may have made before. The last attempt to begin a stream counts.
-	EarlierAttempts int
 }
 
 // Prompt describes the prompt of a model call.
@@ -168,8 +166,8 @@
 
 // Origins knows which version of the targets' software began each stream.
 type Origins interface {
-	// Record records that an attempt to begin a stream is sent to a target with a version of the software.
-	Record(stream recorder.Stream, attempt int, software string)
+	// Record records the version of the software that began a stream, just before the caller gets the first event.
+	Record(stream recorder.Stream, software string)
 	// Find returns the only version at which a stream can go on. known is false if it cannot be told.
 	Find(ctx context.Context, stream recorder.Stream) (software string, known bool)
 }
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -45,6 +45,7 @@
 		}
 		if completeBytes > 0 {
 			r.recordFirstEvent(choice)
+			r.recordOrigin(choice.Target)
 			if writeErr := r.forwardEvents(response, pending[:completeBytes], flusher); writeErr != nil {
 				return r.abortOnWriteError(writeErr)
 			}
