recorder: a restored store's list of software versions may be incomplete (ORDER)

What callers would see: a stream that began at a version that left goes on at the only one that the store has, since it came back from a copy and all daemons were killed before they had written the lost version again. Cause: daemons that start after the restore can't know what the copy lacks, and took the store's answer for complete. Tests: TestVersionsOfRestoredStoreMayBeIncomplete was red before; recorder's tests green three times.

--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -472,3 +472,35 @@
 		}
 	})
 }
+
+// Guards against a stream that is joined (ORDER) since the store has lost a version that had begun it, and all daemons that knew it are
+// killed before they have written it again. Once streams of that time have ended, one version counts as the only one again.
+func TestVersionsOfRestoredStoreMayBeIncomplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 3, "v1")
+		older := w.stored()
+		w.serve("v1", "v2")
+		time.Sleep(3 * time.Second)
+		stream := recorder.Stream{Service: service, Account: "a", ID: "1"}
+		w.daemons[0].origins.Record(stream, "v2")
+		w.serve("v1")
+		time.Sleep(time.Second)
+		w.restore(older)
+		for _, d := range w.daemons {
+			d.start()
+		}
+		for range 10 {
+			time.Sleep(time.Second)
+			if software, known := w.daemons[1].origins.Find(context.Background(), stream); known {
+				t.Errorf("a stream of v2 goes on at %s", software)
+			}
+		}
+		time.Sleep(time.Minute)
+		if software, known := w.daemons[1].origins.Find(context.Background(), stream); !known || software != "v1" {
+			t.Errorf("long after the restore a stream goes on at %q, known %v", software, known)
+		}
+		for _, d := range w.daemons {
+			d.stop()
+		}
+	})
+}
--- a/recorder/versions.go
+++ b/recorder/versions.go
@@ -80,9 +80,13 @@
 
 // service are the versions of one service.
 type service struct {
-	// recorded are the versions in the store, where the key was last written at revision.
-	recorded map[string]bool
-	revision storer.Version
+	// recorded are the versions in the store, where the key was last written at revision. They were complete in the era completeIn of
+	// the store; zero if the writer did not tell.
+	recorded   map[string]bool
+	revision   storer.Version
+	completeIn storer.Era
+	// witnessed is set if this daemon knew the key before the store came back from a copy, so that it has what the copy lacks.
+	witnessed bool
 	// listed is when a target of each version was last listed, and current are the versions of the targets now.
 	listed  map[string]time.Time
 	current map[string]bool
@@ -92,9 +96,10 @@
 	differsSince time.Time
 }
 
-// wireVersions is the value of a key.
+// wireVersions is the value of a key. Daemons of older releases write no era.
 type wireVersions struct {
-	Versions []string `json:"versions"`
+	Versions []string   `json:"versions"`
+	Era      storer.Era `json:"era,omitempty"`
 }
 
 // NewVersions returns Versions that know no version.
@@ -181,7 +186,8 @@
 }
 
 // PossibleNow returns the versions of Possible once the store has confirmed that it has no others now. confirmed is false if it did not
-// answer. What a daemon knows may be old: it may have been cut off, or have stood still, while a version joined.
+// answer, or may have lost some when it came back from a copy. What a daemon knows may be old: it may have been cut off, or have stood
+// still, while a version joined.
 func (v *Versions) PossibleNow(ctx context.Context, name string) (possible []string, confirmed bool) {
 	asked := v.settings.Now()
 	v.confirming.Lock()
@@ -189,7 +195,31 @@
 	if !v.confirmedSince(name, asked) && !v.confirm(ctx, name) {
 		return nil, false
 	}
-	return v.Possible(name), true
+	return v.Possible(name), v.isComplete(name)
+}
+
+// isComplete reports whether the versions of a service that are known here are all that there can be.
+func (v *Versions) isComplete(name string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(name)
+	complete := s.isMarkedComplete() || v.completes(s, v.settings.Now())
+	if !complete {
+		v.settings.Logger.Info("versions of the targets' software may be incomplete", "service", name, "complete_in", s.completeIn, "era", s.revision.Era())
+	}
+	return complete
+}
+
+// isMarkedComplete reports whether the key was complete in the store's present era, as far as its value tells. A value of an earlier era
+// may be that of a copy.
+func (s *service) isMarkedComplete() bool {
+	return s.revision == 0 || s.completeIn == 0 || s.completeIn == s.revision.Era()
+}
+
+// completes reports whether this daemon knows the versions that the store may have lost: it knew them before, or all their streams have
+// ended since it started.
+func (v *Versions) completes(s *service, now time.Time) bool {
+	return s.witnessed || now.Sub(v.started) > v.retention()+removalMargin
 }
 
 // confirmedSince reports whether the versions of a service were read from the store after a time.
@@ -252,6 +282,8 @@
 	service  string
 	revision storer.Version
 	versions []string
+	// completeIn is the era in which the versions are complete; zero if it is not known.
+	completeIn storer.Era
 }
 
 // due returns the changes that are due: a version is missing in the store, or has not been listed for the retention.
@@ -269,7 +301,11 @@
 			wanted[version] = known || now.Sub(v.started) <= v.retention()+removalMargin
 		}
 		maps.DeleteFunc(wanted, func(_ string, is bool) bool { return !is })
-		if maps.Equal(wanted, s.recorded) {
+		completeIn := s.completeIn
+		if s.isMarkedComplete() || v.completes(s, now) {
+			completeIn = s.revision.Era()
+		}
+		if maps.Equal(wanted, s.recorded) && completeIn == s.completeIn {
 			s.differsSince = time.Time{}
 			continue
 		}
@@ -278,7 +314,7 @@
 		}
 		turn := min(ranker.Position(v.settings.Name, v.peers, xxh3.HashString(name)), maxTurns)
 		if now.Sub(s.differsSince) >= time.Duration(turn)*turnInterval {
-			changes = append(changes, change{service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted))})
+			changes = append(changes, change{service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted)), completeIn: completeIn})
 		}
 	}
 	return changes
@@ -288,7 +324,7 @@
 func (v *Versions) commit(ctx context.Context, c change) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	value, err := json.Marshal(wireVersions{Versions: c.versions})
+	value, err := json.Marshal(wireVersions{Versions: c.versions, Era: c.completeIn})
 	if err != nil {
 		v.settings.Logger.Error("versions of the targets' software cannot be encoded", "service", c.service, "error", err)
 		return
@@ -363,12 +399,13 @@
 	if item.Version.Era() > s.revision.Era() {
 		v.lose(s, recorded)
 	}
-	s.recorded, s.revision = recorded, item.Version
+	s.recorded, s.revision, s.completeIn = recorded, item.Version, wire.Era
 }
 
 // lose keeps the versions that the store has lost, as if they had been listed until now. Daemons remove a version only by a write in
 // the same era. The caller holds mu.
 func (v *Versions) lose(s *service, left map[string]bool) {
+	s.witnessed = s.witnessed || s.revision != 0
 	for version := range s.recorded {
 		if !left[version] {
 			s.listed[version] = v.settings.Now()
