recorder, broadcaster: the origins of streams are told until they are acknowledged (LOST)

Cause: where a stream began was told once, in a datagram that is neither acknowledged nor repeated. Change: a teller repeats each origin until two daemons acknowledge it; the next ones in the order stand in for silent ones, and holders are worked out anew when daemons come or go. Take-ups are told too. Weighed: waiting of the first event for an acknowledgement, digests, questions of the holders (DESIGN).

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -31,7 +31,6 @@
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
-	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
@@ -159,7 +158,7 @@
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre,
-		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, OnOrigins: func(told []recorder.Origin) { d.origins.Import(told...) }, Logger: d.loggerFor("broadcaster"),
+		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Origins: d.origins, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
@@ -180,7 +179,7 @@
 	for _, f := range d.view.followers {
 		f.Start(ctx)
 	}
-	d.origins.versions.Start(ctx)
+	d.origins.start(ctx)
 	d.delegation.prober.Start(ctx)
 	d.coordination.presenceLease.Start(ctx)
 	d.coordination.upgraderLease.Start(ctx)
--- a/assembler/origins.go
+++ b/assembler/origins.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"context"
 	"errors"
 	"net/netip"
 	"time"
@@ -32,11 +33,28 @@
 	})
 	client := recorder.NewClient()
 	return origins{versions: versions, client: client, Origins: recorder.NewOrigins(recorder.OriginsSettings{
-		Versions: versions, Ask: client, Retention: d.longestStream, Now: time.Now, Logger: d.loggerFor("recorder"),
-		Send: func(daemons []netip.AddrPort, origin recorder.Origin) { d.broadcaster.SendOrigin(daemons, origin) },
+		Versions: versions, Ask: client, Messenger: messenger{daemon: d}, Retention: d.longestStream, Now: time.Now, Logger: d.loggerFor("recorder"),
 	})}
 }
 
+// messenger sends messages with the daemon's broadcaster, which is created later than its user.
+type messenger struct{ daemon *Daemon }
+
+// TellOrigins implements recorder.Messenger.
+func (m messenger) TellOrigins(daemons []netip.AddrPort, origins []recorder.Origin) {
+	m.daemon.broadcaster.TellOrigins(daemons, origins)
+}
+
+// AcknowledgeOrigins implements recorder.Messenger.
+func (m messenger) AcknowledgeOrigins(daemon netip.AddrPort, streams []uint64) {
+	m.daemon.broadcaster.AcknowledgeOrigins(daemon, streams)
+}
+
+func (o origins) start(ctx context.Context) {
+	o.versions.Start(ctx)
+	o.Origins.Start(ctx)
+}
+
 // longestStream returns how long a stream and its take-ups last at most.
 func (d *Daemon) longestStream() time.Duration {
 	catalog := d.view.declarations.Catalog()
@@ -57,5 +75,5 @@
 }
 
 func (o origins) close() error {
-	return errors.Join(o.versions.Close(), o.client.Close())
+	return errors.Join(o.Origins.Close(), o.versions.Close(), o.client.Close())
 }
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -48,6 +48,14 @@
 	Import(peer string, update placer.PeerUpdate)
 }
 
+// Origins receives what other daemons tell of the origins of streams.
+type Origins interface {
+	// Import takes the origins that a daemon tells.
+	Import(daemon string, origins []recorder.Origin)
+	// Acknowledge takes the news that a daemon knows the origins of some streams.
+	Acknowledge(daemon string, streams []uint64)
+}
+
 // Settings are the parameters of a Broadcaster.
 type Settings struct {
 	Listen     netip.AddrPort
@@ -56,9 +64,9 @@
 	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
 	LinkMegabits float64
 	State        State
-	// OnOrigins is called with the origins of streams that another daemon tells. Default: no call.
-	OnOrigins func([]recorder.Origin)
-	Logger    *slog.Logger
+	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
+	Origins Origins
+	Logger  *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
@@ -80,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, OnOrigins: settings.OnOrigins, Now: time.Now})
+	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, Origins: settings.Origins, Now: time.Now})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
@@ -125,10 +133,16 @@
 	return ctx.Err() == nil
 }
 
-// SendOrigin tells some daemons the origin of a stream.
-func (b *Broadcaster) SendOrigin(to []netip.AddrPort, origin recorder.Origin) {
-	message := Message{Sender: b.self.Name, Scope: ScopeReceiver, Origins: []recorder.Origin{origin}}
-	b.write(Outgoing{To: to, Datagrams: message.Encode()})
+// TellOrigins tells some daemons the origins of streams.
+func (b *Broadcaster) TellOrigins(daemons []netip.AddrPort, origins []recorder.Origin) {
+	message := Message{Sender: b.self.Name, Scope: ScopeReceiver, Origins: origins}
+	b.write(Outgoing{To: daemons, Datagrams: message.Encode()})
+}
+
+// AcknowledgeOrigins tells a daemon that the origins of some streams have arrived.
+func (b *Broadcaster) AcknowledgeOrigins(daemon netip.AddrPort, streams []uint64) {
+	message := Message{Sender: b.self.Name, Scope: ScopeReceiver, Acknowledged: streams}
+	b.write(Outgoing{To: []netip.AddrPort{daemon}, Datagrams: message.Encode()})
 }
 
 func (b *Broadcaster) write(outgoing Outgoing) {
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
-	"github.com/rosemaryrill/rosemaryrill/recorder"
 )
 
 const (
@@ -48,9 +47,9 @@
 	// LinkMegabits is the bandwidth of this daemon's link in Mbit/s, as the peers know it.
 	LinkMegabits float64
 	State        State
-	// OnOrigins is called with the origins of streams that another daemon tells. Default: no call.
-	OnOrigins func([]recorder.Origin)
-	Now       func() time.Time
+	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
+	Origins Origins
+	Now     func() time.Time
 }
 
 // Exchange decides what a daemon sends to which others, and processes what it receives. It does no network I/O, and its
@@ -80,9 +79,6 @@
 
 // NewExchange returns an Exchange without peers.
 func NewExchange(settings ExchangeSettings) *Exchange {
-	if settings.OnOrigins == nil {
-		settings.OnOrigins = func([]recorder.Origin) {}
-	}
 	self := Peer{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits}
 	return &Exchange{
 		settings: settings, self: self, started: settings.Now(), topology: newTopology(self, nil), aggregate: newAggregate(),
@@ -260,7 +256,7 @@
 		return false, err
 	}
 	if message.Scope == ScopeReceiver {
-		e.settings.OnOrigins(message.Origins)
+		e.receiveOrigins(message)
 		return false, nil
 	}
 	e.mu.Lock()
@@ -288,6 +284,19 @@
 	return sendNow, nil
 }
 
+// receiveOrigins passes on what a message tells of the origins of streams.
+func (e *Exchange) receiveOrigins(message Message) {
+	if e.settings.Origins == nil {
+		return
+	}
+	if len(message.Origins) > 0 {
+		e.settings.Origins.Import(message.Sender, message.Origins)
+	}
+	if len(message.Acknowledged) > 0 {
+		e.settings.Origins.Acknowledge(message.Sender, message.Acknowledged)
+	}
+}
+
 // receiveFleet uses the state of all daemons, unless a better ranked aggregator has sent it lately.
 func (e *Exchange) receiveFleet(message Message, now time.Time) {
 	for _, hash := range message.Members {
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -36,6 +36,8 @@
 	// fieldOrigin is the origin of a stream. Its submessage has the version of the software in place of a model, the number of the
 	// origin in place of a version, and the stream as fieldExtra.
 	fieldOrigin protowire.Number = 15
+	// fieldAcknowledged contains the streams whose origins have arrived, eight bytes each.
+	fieldAcknowledged protowire.Number = 16
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -83,6 +85,8 @@
 	Members []uint64
 	// Origins are the origins of streams that the receiver is to remember; only in messages of ScopeReceiver.
 	Origins []recorder.Origin
+	// Acknowledged are the streams whose origins the receiver has told the sender; only in messages of ScopeReceiver.
+	Acknowledged []uint64
 }
 
 // maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
@@ -133,7 +137,8 @@
 	for _, origin := range m.Origins {
 		datagram = appendModel(datagram, fieldOrigin, origin.Software, origin.Number(), origin.Stream)
 	}
-	datagram = appendMembers(datagram, m.Members)
+	datagram = appendHashes(datagram, fieldMembers, m.Members)
+	datagram = appendHashes(datagram, fieldAcknowledged, m.Acknowledged)
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
 
@@ -194,26 +199,27 @@
 	return protowire.AppendVarint(protowire.AppendTag(message, field, protowire.VarintType), value)
 }
 
-func appendMembers(message []byte, members []uint64) []byte {
-	if len(members) == 0 {
+// appendHashes appends hashes as a field of the message itself. No hashes are omitted.
+func appendHashes(message []byte, field protowire.Number, hashes []uint64) []byte {
+	if len(hashes) == 0 {
 		return message
 	}
-	var hashes []byte
-	for _, member := range members {
-		hashes = protowire.AppendFixed64(hashes, member)
+	var encoded []byte
+	for _, hash := range hashes {
+		encoded = protowire.AppendFixed64(encoded, hash)
 	}
-	return protowire.AppendBytes(protowire.AppendTag(message, fieldMembers, protowire.BytesType), hashes)
+	return protowire.AppendBytes(protowire.AppendTag(message, field, protowire.BytesType), encoded)
 }
 
-func decodeMembers(hashes []byte) (members []uint64) {
-	for len(hashes) > 0 {
-		member, n := protowire.ConsumeFixed64(hashes)
+func decodeHashes(encoded []byte) (hashes []uint64) {
+	for len(encoded) > 0 {
+		hash, n := protowire.ConsumeFixed64(encoded)
 		if n < 0 {
-			return members
+			return hashes
 		}
-		members, hashes = append(members, member), hashes[n:]
+		hashes, encoded = append(hashes, hash), encoded[n:]
 	}
-	return members
+	return hashes
 }
 
 // appendVarints appends a submessage with the values as varints in fields numbered from one. Zeros are omitted.
@@ -269,7 +275,10 @@
 			message.Sender = string(value)
 			return nil
 		case fieldMembers:
-			message.Members = decodeMembers(value)
+			message.Members = decodeHashes(value)
+			return nil
+		case fieldAcknowledged:
+			message.Acknowledged = decodeHashes(value)
 			return nil
 		}
 		decoded, err := decodeSubmessage(value)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -3,8 +3,8 @@
 //
 // What begins a stream is its first event at the caller. The daemon that is about to pass it on tells the target's version to the first
 // daemons in the stream's order (see package ranker). An attempt without an event is told to nobody, since the next one may go to another
-// version. So a request has one origin for all time, and a message that is lost can't make another one of it. A daemon that gets a
-// take-up asks the first daemons. Nothing about single streams is written to the
+// version. So a request has one origin for all time, and a message that is lost can't make another one of it. Each message is repeated
+// until it is acknowledged; see teller. A daemon that gets a take-up asks the first daemons. Nothing about single streams is written to the
 // store. If nobody knows the version, for example since all daemons were killed at once, the stream may go on only where one
 // version alone can have begun it. Versions tells which can: it keeps the versions of each service that serve or served lately in
 // the store, where they outlive all daemons, and are read there before one version counts as the only one: this daemon may have been out of
@@ -13,7 +13,9 @@
 // # Usage
 //
 //	versions := recorder.NewVersions(recorder.VersionsSettings{Name: name, Store: store})
-//	origins := recorder.NewOrigins(recorder.OriginsSettings{Versions: versions, Send: send, Ask: ask})
+//	origins := recorder.NewOrigins(recorder.OriginsSettings{Versions: versions, Messenger: messenger, Ask: ask})
+//	origins.Start(ctx)
+//	defer origins.Close()
 //	origins.Record(stream, target.Software)
 //	software, known := origins.Find(ctx, stream)
 //	if !known {
@@ -25,7 +27,6 @@
 	"context"
 	"log/slog"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,17 +34,13 @@
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
 
-	"github.com/rosemaryrill/rosemaryrill/ranker"
+	"github.com/rosemaryrill/rosemaryrill/supervisor"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("recorder")
 
 const (
-	// told is the number of other daemons that are told the version of a stream, and asked the number that are asked for it. More
-	// are asked, since the daemons may not agree for a moment on which there are.
-	told  = 2
-	asked = 3
 	// askTimeout bounds the time for which a take-up waits for the answers of other daemons.
 	askTimeout = 250 * time.Millisecond
 	// maxOrigins bounds the streams of half the retention that are remembered.
@@ -104,10 +101,9 @@
 
 // OriginsSettings are the parameters of Origins.
 type OriginsSettings struct {
-	Versions *Versions
-	// Send sends an origin to other daemons, which may get it or not.
-	Send func(daemons []netip.AddrPort, origin Origin)
-	Ask  Asker
+	Versions  *Versions
+	Messenger Messenger
+	Ask       Asker
 	// Retention returns how long a stream and its take-ups last at most.
 	Retention func() time.Duration
 	Now       func() time.Time
@@ -118,9 +114,11 @@
 // safe for concurrent use.
 type Origins struct {
 	settings OriginsSettings
+	teller   *teller
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
 
-	mu    sync.Mutex
-	peers []Daemon
+	mu sync.Mutex
 	// recent are the origins since rotatedAt, and older those of the time before. Both together reach back for the retention.
 	recent, older map[uint64]Origin
 	rotatedAt     time.Time
@@ -128,16 +126,28 @@
 
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(settings OriginsSettings) *Origins {
-	return &Origins{settings: settings, recent: make(map[uint64]Origin), older: make(map[uint64]Origin), rotatedAt: settings.Now()}
+	return &Origins{
+		settings: settings, teller: newTeller(settings), cancel: func() {},
+		recent: make(map[uint64]Origin), older: make(map[uint64]Origin), rotatedAt: settings.Now(),
+	}
 }
 
-// SetPeers sets the other daemons.
-func (o *Origins) SetPeers(peers []Daemon) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.peers = slices.Clone(peers)
+// Start tells other daemons what they have not acknowledged, until Close or the end of ctx.
+func (o *Origins) Start(ctx context.Context) {
+	ctx, o.cancel = context.WithCancel(ctx)
+	o.tasks.Go(func() { supervisor.Run(ctx, o.settings.Logger, "tell origins", o.teller.run) })
+}
+
+// Close waits for the end of what Start began.
+func (o *Origins) Close() error {
+	o.cancel()
+	o.tasks.Wait()
+	return nil
 }
 
+// SetPeers sets the other daemons.
+func (o *Origins) SetPeers(peers []Daemon) { o.teller.setPeers(peers) }
+
 // Record records the version of the targets' software that began a stream, and tells other daemons. A stream without an id can't be taken
 // up and isn't recorded.
 func (o *Origins) Record(stream Stream, software string) {
@@ -145,22 +155,33 @@
 		return
 	}
 	origin := Origin{Stream: stream.hash(), Software: software, Began: true}
-	o.Import(origin)
-	if holders := o.holders(origin.Stream, told); len(holders) > 0 {
-		o.settings.Send(holders, origin)
-	}
+	o.keep(origin)
+	o.teller.tell(origin)
 }
 
-// Import records what another daemon has told. Attempts that may have begun nothing are passed over.
-func (o *Origins) Import(origins ...Origin) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+// Import records what another daemon has told, and acknowledges it. Attempts that may have begun nothing are passed over. A daemon that
+// is not known yet gets no acknowledgement, and tells it again.
+func (o *Origins) Import(daemon string, origins []Origin) {
+	var kept []uint64
 	for _, origin := range origins {
 		if origin.Began {
-			o.rotate()
-			o.recent[origin.Stream] = origin
+			o.keep(origin)
+			kept = append(kept, origin.Stream)
 		}
 	}
+	if address, known := o.teller.addressOf(daemon); known && len(kept) > 0 {
+		o.settings.Messenger.AcknowledgeOrigins(address, kept)
+	}
+}
+
+// Acknowledge records that another daemon knows the origins of some streams.
+func (o *Origins) Acknowledge(daemon string, streams []uint64) { o.teller.acknowledge(daemon, streams) }
+
+func (o *Origins) keep(origin Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rotate()
+	o.recent[origin.Stream] = origin
 }
 
 // rotate forgets the older origins once the recent ones reach back for the retention. The caller holds mu.
@@ -187,22 +208,6 @@
 	return o.lookUp(stream)
 }
 
-// holders returns the first daemons in the order of the stream.
-func (o *Origins) holders(stream uint64, count int) (addresses []netip.AddrPort) {
-	o.mu.Lock()
-	peers := o.peers
-	o.mu.Unlock()
-	names := make([]string, 0, len(peers))
-	for _, peer := range peers {
-		names = append(names, peer.Name)
-	}
-	for _, name := range ranker.First(names, stream, count) {
-		i := slices.IndexFunc(peers, func(peer Daemon) bool { return peer.Name == name })
-		addresses = append(addresses, peers[i].Address)
-	}
-	return addresses
-}
-
 // Find returns the version of the targets' software that began the stream, or that alone can have begun it by what the store has now.
 // known is false if there are several, or if the store does not tell.
 func (o *Origins) Find(ctx context.Context, stream Stream) (software string, known bool) {
@@ -234,13 +239,13 @@
 
 func shortText(text string) string { return text[:min(len(text), maxIDBytes)] }
 
-// askOthers asks the daemons that were told of the stream. The first one that knows it counts; the others are not waited for.
+// askOthers asks the daemons that may have been told of the stream. The first one that knows it counts; the others are not waited for.
 func (o *Origins) askOthers(ctx context.Context, stream uint64) (origin Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var first sync.Once
 	var calls conc.WaitGroup
-	for _, holder := range o.holders(stream, asked) {
+	for _, holder := range o.teller.holdersOf(stream) {
 		calls.Go(func() {
 			answer, answered, err := o.settings.Ask.Find(ctx, holder, stream)
 			if err != nil || !answered || !answer.Began {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/recorder"
+	"github.com/rosemaryrill/rosemaryrill/seeder"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
@@ -26,6 +27,8 @@
 	newsDelay = 300 * time.Millisecond
 )
 
+func TestMain(m *testing.M) { seeder.Main(m) }
+
 // world is a set of daemons with a store. News of it reach the daemons up to newsDelay later, and a tenth of what daemons tell each
 // other is lost.
 type world struct {
@@ -42,8 +45,15 @@
 	streams []begun
 	// goneOn and refused count take-ups.
 	goneOn, refused int
+	// cuts are the links that are cut, each for messages in one direction.
+	cuts map[link]bool
+	// told counts the origins in all messages.
+	told int
 }
 
+// link is the way of messages from one daemon to another.
+type link struct{ from, to *daemon }
+
 // begun is a stream that began.
 type begun struct {
 	recorder.Stream
@@ -78,7 +88,7 @@
 }
 
 func newWorld(seed uint64, daemons int, serving ...string) *world {
-	w := &world{random: rand.New(rand.NewPCG(seed, 0)), serving: serving, era: 1}
+	w := &world{random: rand.New(rand.NewPCG(seed, 0)), serving: serving, era: 1, cuts: make(map[link]bool)}
 	for i := range daemons {
 		w.daemons = append(w.daemons, &daemon{world: w, name: fmt.Sprint("d", i), address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))})
 	}
@@ -96,7 +106,7 @@
 		Name: d.name, Store: d, Prefix: prefix, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 	})
 	origins := recorder.NewOrigins(recorder.OriginsSettings{
-		Versions: versions, Ask: d, Send: d.tell, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
+		Versions: versions, Ask: d, Messenger: d, Retention: func() time.Duration { return longest }, Now: time.Now, Logger: slog.New(slog.DiscardHandler),
 	})
 	var peers []recorder.Daemon
 	var names []string
@@ -110,11 +120,13 @@
 	d.set(func() { d.origins, d.versions, d.alive = origins, versions, true })
 	d.list()
 	versions.Start(context.Background())
+	origins.Start(context.Background())
 }
 
 func (d *daemon) stop() {
 	if d.versions != nil {
 		_ = d.versions.Close()
+		_ = d.origins.Close()
 	}
 	d.set(func() { d.alive = false })
 }
@@ -201,18 +213,38 @@
 	w.news(func(d *daemon, _ storer.Item) func() { return d.list })
 }
 
-func (d *daemon) tell(to []netip.AddrPort, origin recorder.Origin) {
+// TellOrigins implements recorder.Messenger.
+func (d *daemon) TellOrigins(to []netip.AddrPort, origins []recorder.Origin) {
+	d.set(func() { d.told += len(origins) * len(to) })
 	for _, address := range to {
-		if other := d.daemons[address.Port()-1]; other.isAlive() && !d.isOutOfStep() && !other.isOutOfStep() && d.intN(10) > 0 {
-			other.knownOrigins().Import(origin)
+		if other := d.daemons[address.Port()-1]; d.arrives(other) {
+			other.knownOrigins().Import(d.name, origins)
 		}
 	}
 }
 
+// AcknowledgeOrigins implements recorder.Messenger.
+func (d *daemon) AcknowledgeOrigins(to netip.AddrPort, streams []uint64) {
+	if other := d.daemons[to.Port()-1]; d.arrives(other) {
+		other.knownOrigins().Acknowledge(d.name, streams)
+	}
+}
+
+// arrives reports whether a message to another daemon arrives.
+func (d *daemon) arrives(other *daemon) bool {
+	return other.isAlive() && !d.isOutOfStep() && !other.isOutOfStep() && !d.isCut(link{d, other}) && d.intN(10) > 0
+}
+
+func (w *world) isCut(l link) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cuts[l]
+}
+
 // Find implements recorder.Asker.
 func (d *daemon) Find(_ context.Context, address netip.AddrPort, stream uint64) (recorder.Origin, bool, error) {
 	other := d.daemons[address.Port()-1]
-	if !other.isAlive() || d.isOutOfStep() || other.isOutOfStep() {
+	if !other.isAlive() || d.isOutOfStep() || other.isOutOfStep() || d.isCut(link{d, other}) || d.isCut(link{other, d}) {
 		return recorder.Origin{}, false, errors.New("refused")
 	}
 	origin, known := other.knownOrigins().Known(stream)
@@ -272,9 +304,11 @@
 	}
 }
 
-// begin begins a stream at a version that the daemon lists, as placers choose it.
-func (w *world) begin() {
-	d := w.randomDaemon()
+// begin begins a stream at some daemon.
+func (w *world) begin() { w.beginAt(w.randomDaemon()) }
+
+// beginAt begins a stream at a version that the daemon lists, as placers choose it.
+func (w *world) beginAt(d *daemon) {
 	var candidates []string
 	w.set(func() { candidates = slices.Clone(d.listed) })
 	candidates = slices.DeleteFunc(candidates, func(software string) bool { return !d.versions.Recorded(service, software) })
@@ -282,7 +316,7 @@
 		return
 	}
 	s := begun{Stream: recorder.Stream{Service: service, Account: "a", ID: fmt.Sprint(len(w.streams))}, software: candidates[w.intN(len(candidates))], at: time.Now()}
-	d.origins.Record(s.Stream, s.software)
+	d.knownOrigins().Record(s.Stream, s.software)
 	w.streams = append(w.streams, s)
 }
 
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -60,18 +60,22 @@
 	// fromPeer makes the calls come from another daemon. deposits counts the credits for retries.
 	fromPeer bool
 	deposits int
-	// recorded are the versions of the targets' software that were recorded as origins, and recordedLate is set if the caller had a
-	// part of the answer by then. response is the answer to the caller.
+	// recorded are the versions of the targets' software that were recorded as origins, the last one for the stream that began with the
+	// request recordedID. recordedLate is set if the caller had a part of the answer by then. response is the answer to the caller.
 	recorded     []string
+	recordedID   string
 	recordedLate bool
 	response     *httptest.ResponseRecorder
+	// lastEventID and resumes make the calls take a stream up.
+	lastEventID, resumes string
 }
 
 // recording records the origins of streams for a harness.
 type recording struct{ *harness }
 
-func (r recording) Record(_ recorder.Stream, software string) {
+func (r recording) Record(stream recorder.Stream, software string) {
 	r.recorded = append(r.recorded, software)
+	r.recordedID = stream.ID
 	r.recordedLate = r.recordedLate || r.response.Body.Len() > 0
 }
 
@@ -327,7 +331,7 @@
 		defer func() { seen.aborted = recover() != nil }()
 		r.Relay(ctx, recorder, &relayer.Call{
 			ID: "1", Method: http.MethodPost, URI: path + "x", Path: path + "x", Host: host, Header: http.Header{}, Key: key, ArrivedAt: time.Now(),
-			Prompt: h.prompt, Delegated: h.fromPeer,
+			Prompt: h.prompt, Delegated: h.fromPeer, LastEventID: h.lastEventID, Resumes: h.resumes,
 		})
 	}()
 	seen.status, seen.body = recorder.Code, recorder.Body.String()
--- a/relayer/origin.go
+++ b/relayer/origin.go
@@ -49,10 +49,11 @@
 	return nil
 }
 
-// recordOrigin records the version of the software that begins a new stream, just before the caller gets its first event. An attempt
-// without an event has begun nothing: the next one may come from another version. If another daemon took the request, that one records it.
+// recordOrigin records the version of the software that begins a stream, just before the caller gets the first event of its answer. An
+// attempt without an event has begun nothing: the next one may come from another version. A take-up is recorded for the stream's first
+// request, so that the next one finds daemons that know it. If another daemon took the request, that one records it.
 func (r *relayedRequest) recordOrigin(target placer.Target) {
-	begins := !r.headWritten && !r.isTakeUp() && !r.delegated
+	begins := !r.headWritten && !r.delegated
 	if origins := r.relayer.settings.Origins; origins != nil && begins {
 		origins.Record(r.stream(), target.Software)
 	}
--- a/relayer/origin_test.go
+++ b/relayer/origin_test.go
@@ -60,3 +60,13 @@
 		t.Errorf("recorded %v at the daemon that took the request", other.recorded)
 	}
 }
+
+// Guards against streams that don't go on when they are taken up for the second time (LOST): the daemons that knew where they began were
+// replaced meanwhile.
+func TestTakeUpIsRecordedForFirstRequest(t *testing.T) {
+	h := newHarness(targetBehaviour{status: http.StatusOK, body: rest})
+	h.lastEventID, h.resumes = "2", "first"
+	if seen := relayOnce(t, h, "/resume/"); seen.body != rest || len(h.recorded) != 1 || h.recordedID != "first" {
+		t.Errorf("recorded %q for %q, the caller has %+v", h.recorded, h.recordedID, seen)
+	}
+}
