recorder: attempts that daemons of tell are confirmed before they count (LOST, ORDER)

Tests: TestStreamsOfOlderReleaseGoOn and TestLaterAttemptOfOlderReleaseReplacesConfirmedOne fail without the confirmation; TestAttemptOfOlderReleaseIsNoOrigin guards the other side.

--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -4,7 +4,8 @@
 // What begins a stream is its first event at the caller. The daemon that is about to pass it on tells the target's version to the first
 // daemons in the stream's order (see package ranker). An attempt without an event is told to nobody, since the next one may go to another
 // version. So a request has one origin for all time, and a message that is lost can't make another one of it. Each message is repeated
-// until it is acknowledged; see teller. A daemon that gets a take-up asks the first daemons. Nothing about single streams is written to the
+// until it is acknowledged; see teller. A daemon that gets a take-up asks the first daemons. Daemons of older releases tell attempts; see
+// confirmer. Nothing about single streams is written to the
 // store. If nobody knows the version, for example since all daemons were killed at once, the stream may go on only where one
 // version alone can have begun it. Versions tells which can: it keeps the versions of each service that serve or served lately in
 // the store, where they outlive all daemons, and are read there before one version counts as the only one: this daemon may have been out of
@@ -66,8 +67,8 @@
 	// Stream is the hash of the stream's identity.
 	Stream   uint64
 	Software string
-	// Began is set if the caller got the first event from there. Daemons of older releases tell each attempt to begin a stream; these
-	// are not set, and don't count.
+	// Began is set if the caller got the first event from there. Daemons of older releases tell each attempt to begin a stream; it is
+	// not set for these, which don't count by themselves. See confirmer.
 	Began bool
 }
 
@@ -113,10 +114,11 @@
 // Origins remembers the origins of streams: of those that this daemon began, and of those that others told it. Its methods are
 // safe for concurrent use.
 type Origins struct {
-	settings OriginsSettings
-	teller   *teller
-	cancel   context.CancelFunc
-	tasks    conc.WaitGroup
+	settings  OriginsSettings
+	teller    *teller
+	confirmer *confirmer
+	cancel    context.CancelFunc
+	tasks     conc.WaitGroup
 
 	mu sync.Mutex
 	// recent are the origins since rotatedAt, and older those of the time before. Both together reach back for the retention.
@@ -126,16 +128,18 @@
 
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(settings OriginsSettings) *Origins {
+	teller := newTeller(settings)
 	return &Origins{
-		settings: settings, teller: newTeller(settings), cancel: func() {},
+		settings: settings, teller: teller, confirmer: newConfirmer(settings, teller.addressOf), cancel: func() {},
 		recent: make(map[uint64]Origin), older: make(map[uint64]Origin), rotatedAt: settings.Now(),
 	}
 }
 
-// Start tells other daemons what they have not acknowledged, until Close or the end of ctx.
+// Start tells other daemons what they have not acknowledged, and asks those of older releases, until Close or the end of ctx.
 func (o *Origins) Start(ctx context.Context) {
 	ctx, o.cancel = context.WithCancel(ctx)
 	o.tasks.Go(func() { supervisor.Run(ctx, o.settings.Logger, "tell origins", o.teller.run) })
+	o.tasks.Go(func() { supervisor.Run(ctx, o.settings.Logger, "confirm attempts", o.confirmer.run) })
 }
 
 // Close waits for the end of what Start began.
@@ -159,15 +163,17 @@
 	o.teller.tell(origin)
 }
 
-// Import records what another daemon has told, and acknowledges it. Attempts that may have begun nothing are passed over. A daemon that
-// is not known yet gets no acknowledgement, and tells it again.
+// Import records what another daemon has told, and acknowledges it. Attempts that may have begun nothing have to be confirmed. A daemon
+// that is not known yet gets no acknowledgement, and tells it again.
 func (o *Origins) Import(daemon string, origins []Origin) {
 	var kept []uint64
 	for _, origin := range origins {
-		if origin.Began {
-			o.keep(origin)
-			kept = append(kept, origin.Stream)
+		if !origin.Began {
+			o.confirmer.add(daemon, origin)
+			continue
 		}
+		o.keep(origin)
+		kept = append(kept, origin.Stream)
 	}
 	if address, known := o.teller.addressOf(daemon); known && len(kept) > 0 {
 		o.settings.Messenger.AcknowledgeOrigins(address, kept)
@@ -204,8 +210,12 @@
 // Known returns the origin of a stream as far as this daemon knows it.
 func (o *Origins) Known(stream uint64) (origin Origin, known bool) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.lookUp(stream)
+	origin, known = o.lookUp(stream)
+	o.mu.Unlock()
+	if known {
+		return origin, true
+	}
+	return o.confirmer.known(stream)
 }
 
 // Find returns the version of the targets' software that began the stream, or that alone can have begun it by what the store has now.
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -69,6 +69,10 @@
 	origins  *recorder.Origins
 	versions *recorder.Versions
 	listed   []string
+	// older is set if the daemon is of an older release: it tells each attempt to begin a stream once, and attempts are the last ones
+	// that it made.
+	older    bool
+	attempts map[uint64]recorder.Origin
 	// outOfStep is set while the daemon hears nothing and nobody hears it, except that it reaches the store unless unread is set.
 	outOfStep, unread bool
 }
@@ -247,6 +251,10 @@
 	if !other.isAlive() || d.isOutOfStep() || other.isOutOfStep() || d.isCut(link{d, other}) || d.isCut(link{other, d}) {
 		return recorder.Origin{}, false, errors.New("refused")
 	}
+	if other.older {
+		attempt, known := other.lastAttempt(stream)
+		return attempt, known, nil
+	}
 	origin, known := other.knownOrigins().Known(stream)
 	return origin, known, nil
 }
