attributor: a test that crashes on both sides of a cut are learnt (BUDGET)

From the third crash on each daemon repeats them, and of five crashes on two sides of a cut one side has seen three.

--- a/attributor/attributor_test.go
+++ b/attributor/attributor_test.go
@@ -238,6 +238,34 @@
 	}
 }
 
+// Guards against daemons that let requests through which crash targets (BUDGET) since each saw a part of the crashes during a cut, whose
+// messages are lost: of five crashes on two sides, one side has seen three, and repeats them.
+func TestCrashesOnBothSidesOfCutAreLearnt(t *testing.T) {
+	for _, sides := range [][2]int{{3, 2}, {2, 3}, {5, 0}} {
+		f := newFleet(2)
+		for side, crashes := range sides {
+			for range crashes {
+				f.crash(f.daemons[side], []attributor.Cause{part})
+				f.daemons[side].Export(maxExported) // The message is lost.
+			}
+		}
+		f.now = f.now.Add(time.Second)
+		for range 3 {
+			f.daemons[0].Export(maxExported)
+			f.daemons[1].Export(maxExported)
+		}
+		for range 3 {
+			f.now = f.now.Add(time.Second)
+			f.exchange()
+		}
+		for i, a := range f.daemons {
+			if !refuses(a, part) {
+				t.Errorf("crashes %v: daemon %d does not refuse the request 3 s after the cut", sides, i)
+			}
+		}
+	}
+}
+
 // A cause that is refused is tried again by one daemon at a time and ever more rarely, and runs again once it is sound.
 func TestRefusedCauseIsTriedAgain(t *testing.T) {
 	f := newFleet(4)
