--- a/assembler/delegation.go
+++ b/assembler/delegation.go
@@ -53,11 +53,18 @@
 
 // setDelegates sets the daemons to which requests may be passed on.
 func (d *Daemon) setDelegates(peers []broadcaster.Peer) {
-	daemons := make([]delegator.Daemon, 0, len(peers))
+	d.delegation.SetPeers(convertPeers(peers, func(peer broadcaster.Peer) delegator.Daemon {
+		return delegator.Daemon{Name: peer.Name, DataCentre: peer.DataCentre, Address: peer.Address}
+	}))
+}
+
+// convertPeers returns the peers as another package needs them.
+func convertPeers[T any](peers []broadcaster.Peer, convert func(broadcaster.Peer) T) []T {
+	converted := make([]T, 0, len(peers))
 	for _, peer := range peers {
-		daemons = append(daemons, delegator.Daemon{Name: peer.Name, DataCentre: peer.DataCentre, Address: peer.Address})
+		converted = append(converted, convert(peer))
 	}
-	d.delegation.SetPeers(daemons)
+	return converted
 }
 
 func (g delegation) close() error {
@@ -85,7 +92,7 @@
 // serveDelegated handles a request that another daemon passed on.
 func (e *edge) serveDelegated(ctx context.Context, w http.ResponseWriter, request delegator.Request) {
 	location, err := url.ParseRequestURI(request.URI)
-	if err != nil || len(request.Body) > int(e.maxBodyBytes()) {
+	if err != nil {
 		refuseDelegated(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true})
 		return
 	}
@@ -104,6 +111,3 @@
 		writer.WriteRefusal(refusal)
 	}
 }
-
-// drainDelegated waits for the requests of other daemons.
-func (e *edge) drainDelegated(ctx context.Context) { e.daemon.delegation.handler.Drain(ctx) }
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -212,7 +212,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), stopAt.Add(-stopBoundMargin))
 	defer cancel()
 	var delegated conc.WaitGroup
-	delegated.Go(func() { e.drainDelegated(ctx) })
+	delegated.Go(func() { e.daemon.delegation.handler.Drain(ctx) })
 	e.drainer.Drain(ctx)
 	delegated.Wait()
 }
--- a/assembler/origins.go
+++ b/assembler/origins.go
@@ -66,11 +66,9 @@
 
 // setOriginPeers sets the daemons that are told and asked the origins of streams.
 func (d *Daemon) setOriginPeers(peers []broadcaster.Peer, names []string) {
-	daemons := make([]recorder.Daemon, 0, len(peers))
-	for _, peer := range peers {
-		daemons = append(daemons, recorder.Daemon{Name: peer.Name, Address: peer.Address})
-	}
-	d.origins.SetPeers(daemons)
+	d.origins.SetPeers(convertPeers(peers, func(peer broadcaster.Peer) recorder.Daemon {
+		return recorder.Daemon{Name: peer.Name, Address: peer.Address}
+	}))
 	d.origins.versions.SetPeers(names)
 }
 
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -88,7 +88,10 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := NewExchange(ExchangeSettings{Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits, State: settings.State, Origins: settings.Origins, Now: time.Now})
+	exchange := NewExchange(ExchangeSettings{
+		Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits,
+		State: settings.State, Origins: settings.Origins, Now: time.Now,
+	})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -48,6 +48,14 @@
 	return r.relayer.settings.Delegator != nil && !r.call.Delegated
 }
 
+// handOver passes the request on if it would be refused since this daemon reaches no target. See delegate.
+func (r *relayedRequest) handOver(ctx context.Context, refusal *Refusal) (taken bool, delegatedRefusal *Refusal) {
+	if refusal == nil || refusal.Reason != ReasonUnreachable {
+		return false, nil
+	}
+	return r.delegate(ctx)
+}
+
 // delegate passes the request on to another daemon, since this one reaches no target, and forwards the answer. taken is false if no
 // daemon took it. A request that was taken is not sent again: the other daemon has made all attempts that its route allows.
 func (r *relayedRequest) delegate(ctx context.Context) (taken bool, refusal *Refusal) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -151,10 +151,8 @@
 // refusal.
 func (r *relayedRequest) tryTarget(ctx context.Context) (ended bool, refusal *Refusal) {
 	choice, refusal := r.choose()
-	if refusal != nil && refusal.Reason == ReasonUnreachable {
-		if taken, delegatedRefusal := r.delegate(ctx); taken {
-			return true, delegatedRefusal
-		}
+	if taken, delegatedRefusal := r.handOver(ctx, refusal); taken {
+		return true, delegatedRefusal
 	}
 	if refusal != nil && r.awaitTarget(ctx) {
 		return false, nil
@@ -172,10 +170,8 @@
 	r.brokenAt = time.Now()
 	r.logAttempt(result, attempted)
 	refusal = r.decideRetry(ctx, result, attempted)
-	if refusal != nil && refusal.Reason == ReasonUnreachable {
-		if taken, delegatedRefusal := r.delegate(ctx); taken {
-			return true, delegatedRefusal
-		}
+	if taken, delegatedRefusal := r.handOver(ctx, refusal); taken {
+		return true, delegatedRefusal
 	}
 	return refusal != nil, refusal
 }
