--- a/recorder/confirmer.go
+++ b/recorder/confirmer.go
@@ -118,7 +118,8 @@
 	return due
 }
 
-// confirm asks the daemon that told an attempt for the last one, and keeps its answer as the stream's origin.
+// confirm asks the daemon that told an attempt for the last one, and keeps its answer as the stream's origin. A daemon that does not know
+// the stream was started anew, and never will.
 func (c *confirmer) confirm(ctx context.Context, a *attempt) {
 	address, reachable := c.addressOf(a.daemon)
 	if !reachable {
@@ -127,11 +128,17 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	last, known, err := c.ask.Find(ctx, address, a.origin.Stream)
-	if err != nil || !known {
+	if err != nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !known {
+		if c.attempts[a.origin.Stream] == a {
+			delete(c.attempts, a.origin.Stream)
+		}
+		return
+	}
 	a.origin = Origin{Stream: a.origin.Stream, Software: last.Software, Began: true}
 	a.confirmed = true
 }
