assembler: messages between daemons are lost in tests of whole fleets (LOST, ORDER)

Each daemon of a test fleet is reached by the others over a link that can be cut. TestTakeUpGoesOnAfterCutBetweenDaemons fails without the repetition of origins (503 for all streams that are taken up).

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -50,6 +50,8 @@
 	callers, ready, metrics netip.AddrPort
 	log                     *lockedBuffer
 	links                   *links
+	// fromPeers is the link on which the other daemons reach this one.
+	fromPeers *peerLink
 }
 
 type lockedBuffer struct {
@@ -180,7 +182,9 @@
 func (f *fleet) start(i int) *daemon {
 	f.t.Helper()
 	settings := f.settings(i)
-	d := &daemon{callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}, links: &links{}}
+	fromPeers := newPeerLink(f.t, settings.PeersListen)
+	settings.PeersAdvertise = fromPeers.address
+	d := &daemon{fromPeers: fromPeers, callers: settings.CallersListen, ready: settings.Hosted.ReadyListen, metrics: settings.Hosted.MetricsListen, log: &lockedBuffer{}, links: &links{}}
 	var err error
 	d.Daemon, err = assembler.New(context.WithoutCancel(f.t.Context()), assembler.Settings{Settings: settings, LogOutput: d.log, OnTargetSocket: d.links.add})
 	if err != nil {
--- a/assembler/software_test.go
+++ b/assembler/software_test.go
@@ -134,6 +134,38 @@
 	}
 }
 
+// Guards against refusals of take-ups that could go on (LOST): the streams began while no message reached another daemon from the one
+// that served them, which is killed shortly after the cut has healed.
+func TestTakeUpGoesOnAfterCutBetweenDaemons(t *testing.T) {
+	f := newSoftwareFleet(t, 3)
+	for _, d := range f.daemons {
+		d.fromPeers.set(true)
+	}
+	f.cut(true)
+	for i := range takeUps {
+		f.begin(f.daemons[0], fmt.Sprint("s", i))
+	}
+	f.cut(false)
+	time.Sleep(time.Second)
+	for _, d := range f.daemons {
+		d.fromPeers.set(false)
+	}
+	for i, d := range f.daemons[1:] {
+		if d.fromPeers.lost.Load() < takeUps {
+			t.Fatalf("daemon %d lost %d datagrams in the cut", i+1, d.fromPeers.lost.Load())
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	_ = f.daemons[0].Close()
+	for i := range takeUps {
+		id := fmt.Sprint("s", i)
+		r := f.takeUp(f.daemons[1+i%2], id)
+		if r.status != http.StatusOK || r.err != nil || len(f.versionsOf(id)) != 1 {
+			t.Errorf("stream %s: status %d, error %v, versions %v", id, r.status, r.err, f.versionsOf(id))
+		}
+	}
+}
+
 // Guards against a take-up that is joined from two versions of the targets' software (ORDER) after all daemons were killed at once,
 // so that none knows which version began it: both versions serve, or the old one has just left.
 func TestTakeUpAfterRestartOfAllDaemonsIsNotJoined(t *testing.T) {
--- a/assembler/targets_soak_test.go
+++ b/assembler/targets_soak_test.go
@@ -82,6 +82,11 @@
 }
 
 func runTargetsSoak(t *testing.T, seed uint64) {
+	playTargetsSoak(t, seed, func(*targetsSoak, time.Time) {})
+}
+
+// playTargetsSoak plays one history, beside which something more happens until its end.
+func playTargetsSoak(t *testing.T, seed uint64, beside func(s *targetsSoak, end time.Time)) {
 	s := &targetsSoak{
 		fleet: newFleet(t, 0), random: rand.New(rand.NewPCG(seed, 0)), sentAt: make(map[string]time.Time), streams: make(map[string][]string), refused: make(map[string]bool),
 	}
@@ -105,6 +110,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(i+1)))
 		group.Go(func() { s.call(random, fmt.Sprint("c", i), end) })
 	}
+	group.Go(func() { beside(s, end) })
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(s.random.IntN(600)) * time.Millisecond)
 		s.disturb()
