--- a/recorder/confirmer_test.go
+++ b/recorder/confirmer_test.go
@@ -25,6 +25,12 @@
 	d.TellOrigins(others, []recorder.Origin{origin})
 }
 
+func (d *daemon) isOlder() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.older
+}
+
 // lastAttempt returns the last attempt of a daemon of an older release to begin a stream.
 func (d *daemon) lastAttempt(stream uint64) (attempt recorder.Origin, known bool) {
 	d.mu.Lock()
@@ -37,7 +43,7 @@
 func withOlderDaemon(t *testing.T, history func(w *world, older *daemon)) {
 	testWorld(t, 3, func(w *world) {
 		older := w.daemons[0]
-		older.older, older.attempts = true, make(map[uint64]recorder.Origin)
+		w.set(func() { older.older, older.attempts = true, make(map[uint64]recorder.Origin) })
 		for i := range 24 {
 			s := begun{Stream: recorder.Stream{Service: service, Account: "a", ID: fmt.Sprint(i)}, software: "v1", at: time.Now()}
 			w.streams = append(w.streams, s)
--- a/recorder/teller_test.go
+++ b/recorder/teller_test.go
@@ -120,19 +120,19 @@
 			w.beginAt(first)
 			time.Sleep(seconds * time.Second / streams)
 		}
-		if repeated := w.told - holdersAtFirst*streams; repeated > maxRepeatsPerSecond*seconds {
+		if repeated := w.toldSoFar() - holdersAtFirst*streams; repeated > maxRepeatsPerSecond*seconds {
 			t.Errorf("%d origins were told again in %d s", repeated, seconds)
 		}
 		first.step(false, false)
 		time.Sleep(healedFor)
 		first.stop()
-		told := w.told
+		told := w.toldSoFar()
 		if unknown, err := w.unknown(w.streams); err != nil || len(unknown) > 0 {
 			t.Errorf("error %v, not known: %v", err, unknown)
 		}
 		time.Sleep(healedFor)
-		if w.told != told {
-			t.Errorf("%d origins were told although all know them", w.told-told)
+		if further := w.toldSoFar() - told; further != 0 {
+			t.Errorf("%d origins were told although all know them", further)
 		}
 	})
 }
--- a/recorder/world_test.go
+++ b/recorder/world_test.go
@@ -233,6 +233,12 @@
 	}
 }
 
+// toldSoFar returns the number of the origins in all messages.
+func (w *world) toldSoFar() (told int) {
+	w.set(func() { told = w.told })
+	return told
+}
+
 // arrives reports whether a message to another daemon arrives.
 func (d *daemon) arrives(other *daemon) bool {
 	return other.isAlive() && !d.isOutOfStep() && !other.isOutOfStep() && !d.isCut(link{d, other}) && d.intN(10) > 0
@@ -250,7 +256,7 @@
 	if !other.isAlive() || d.isOutOfStep() || other.isOutOfStep() || d.isCut(link{d, other}) || d.isCut(link{other, d}) {
 		return recorder.Origin{}, false, errors.New("refused")
 	}
-	if other.older {
+	if other.isOlder() {
 		attempt, known := other.lastAttempt(stream)
 		return attempt, known, nil
 	}
