--- a/assembler/foreign_test.go
+++ b/assembler/foreign_test.go
@@ -64,6 +64,7 @@
 						}
 						if lookUp.status != http.StatusOK {
 							failed.Add(1)
+							t.Logf("look-up %s: status %d, error %v, Retry-After %q", id, lookUp.status, lookUp.err, lookUp.header.Get("Retry-After"))
 						}
 					})
 				}
