platform, cataloger: an empty list of accounts makes no key valid (CONFIG, ROUTE)

Cause: the list was decoded into a slice, in which an absent field, null and [] look alike, and keys were required only if the slice had elements. What a document says (it lists accounts) and what is concluded (a key is needed) are two things now: the codec tells whether the list is there, and the catalog requires keys wherever it is. Requests that wait or repeat, streams that go on, daemons that start and those that take requests over ask the same catalog, so nothing else had to change.

tenants: absent (never there before): run as before; null, []: ran, now 401; accounts without keys: 401 as before; no list: refused as before.

--- /dev/null
+++ b/assembler/account_list_test.go
@@ -0,0 +1,59 @@
+package assembler_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// emptyLists are lists of accounts in which no key is left, by their texts in JSON.
+func (f *fleet) emptyLists() map[string]any {
+	return map[string]any{
+		"[]":           []any{},
+		"null":         (*[]any)(nil),
+		"no apiKeys":   []any{map[string]any{"name": "account-1"}},
+		"null apiKeys": []any{map[string]any{"name": "account-1", "apiKeys": nil}},
+		"[] apiKeys":   []any{f.account("account-1", []string{})},
+	}
+}
+
+// expectKeysRefused sends requests with the key that was taken away, with one that never was, and with none.
+func (f *fleet) expectKeysRefused(d *daemon, what string) {
+	f.t.Helper()
+	for _, key := range []string{"Token " + validKey, "Token strange", "Token ", ""} {
+		id := fmt.Sprintf("%s %s %q", d.callers, strings.ReplaceAll(what, " ", "-"), key)
+		r := f.call(d, http.MethodGet, "/look/a", id, "", "Authorization", key)
+		if ran := runsOf(f.services, id); r.status != http.StatusUnauthorized || len(ran) > 0 {
+			f.t.Errorf("%s: the request with the key %q ran %d times and got %d", what, key, len(ran), r.status)
+		}
+	}
+}
+
+// Guards against requests with any key that run once the last key was taken away (CONFIG, ROUTE): an empty list of accounts was
+// taken for none.
+func TestNoKeyIsValidOnceAllWereTakenAway(t *testing.T) {
+	f := newFleet(t, 1)
+	for name, accounts := range f.emptyLists() {
+		f.configure([]string{"before"}, validKey)
+		f.await("valid key", func() bool { return f.call(f.daemons[0], http.MethodGet, "/before/a", "v", "").status == http.StatusOK })
+		f.configureAccounts([]string{"after"}, accounts)
+		f.await("refused key", func() bool {
+			return f.call(f.daemons[0], http.MethodGet, "/after/a", "w", "").status != http.StatusNotFound
+		})
+		f.expectKeysRefused(f.daemons[0], name)
+		f.expectKeysRefused(f.start(1), name+" at a daemon that starts")
+	}
+}
+
+// A deployment that never had client accounts needs no keys.
+func TestDeploymentWithoutAccountsNeedsNoKeys(t *testing.T) {
+	f := newFleet(t, 0)
+	f.configureAccounts(nil, nil)
+	d := f.start(0)
+	for _, key := range []string{"", "Token any"} {
+		if r := f.call(d, http.MethodGet, "/look/a", "k"+key, "", "Authorization", key); r.status != http.StatusOK {
+			t.Errorf("key %q: %+v", key, r)
+		}
+	}
+}
--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -111,6 +111,11 @@
 
 // configure writes the next version of the configuration, with additional routes.
 func (f *fleet) configure(extraRoutes []string, keys ...string) {
+	f.configureAccounts(extraRoutes, []any{f.account("account-1", keys), f.account("account-2", []string{"key-2"})})
+}
+
+// configureAccounts writes the next version of the configuration with the list of accounts; nil leaves the list out.
+func (f *fleet) configureAccounts(extraRoutes []string, accounts any) {
 	f.version += 3
 	route := func(name, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
@@ -125,15 +130,18 @@
 	for _, name := range extraRoutes {
 		routes = append(routes, route(name, "idempotent", "services", false))
 	}
-	f.store.Put("op/config", map[string]any{
+	document := map[string]any{
 		"version": f.version, "routes": routes,
 		"services": []any{
 			map[string]any{"name": "engines", "maxConnections": 50, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": model}}}},
 			map[string]any{"name": "services", "maxConnections": 50},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{f.account("account-1", keys), f.account("account-2", []string{"key-2"})},
-	})
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+	if accounts != nil {
+		document["tenants"] = accounts
+	}
+	f.store.Put("op/config", document)
 }
 
 func (f *fleet) account(name string, keys []string) map[string]any {
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -143,8 +143,10 @@
 type Declarations struct {
 	Routes   []Route
 	Services []Service
-	Accounts []Account
-	Limits   Limits
+	// ListsAccounts is set if the configuration has a list of accounts, which may be empty. Accounts imply it.
+	ListsAccounts bool
+	Accounts      []Account
+	Limits        Limits
 }
 
 // Catalog is one version of the declarations with indexes. Its methods are safe for concurrent use.
@@ -169,7 +171,7 @@
 		byHost:          make(map[string][]*Route),
 		services:        make(map[string]*Service, len(declarations.Services)),
 		accounts:        make(map[string]*Account),
-		requiresKeys:    len(declarations.Accounts) > 0,
+		requiresKeys:    declarations.ListsAccounts || len(declarations.Accounts) > 0,
 		sharedNamespace: sharedNamespace(declarations.Accounts),
 	}
 	for i := range declarations.Routes {
@@ -202,8 +204,8 @@
 // LongestStream returns the longest timeout of a route with streams; zero if there are none.
 func (c *Catalog) LongestStream() time.Duration { return c.longestStream }
 
-// RequiresKeys reports whether requests on routes that are not anonymous need a key, which they do if any account is
-// declared.
+// RequiresKeys reports whether requests on routes that are not anonymous need a key, which they do if accounts are listed. If
+// the list is empty, no key is valid.
 func (c *Catalog) RequiresKeys() bool { return c.requiresKeys }
 
 // Match returns the route of the host with the longest prefix of the path.
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -40,7 +40,10 @@
 		t.Error("an empty key belongs to an account")
 	}
 	if !catalog.RequiresKeys() || cataloger.New(1, cataloger.Declarations{}).RequiresKeys() {
-		t.Error("keys must be required if and only if accounts are declared")
+		t.Error("keys must be required if and only if accounts are listed")
+	}
+	if !cataloger.New(1, cataloger.Declarations{ListsAccounts: true}).RequiresKeys() {
+		t.Error("keys must be required by an empty list of accounts")
 	}
 }
 
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -172,6 +172,11 @@
 	return h
 }
 
+// takeAllKeys puts a configuration in force whose list of accounts is empty.
+func (h *harness) takeAllKeys() {
+	h.catalog = cataloger.New(2, cataloger.Declarations{Routes: routes(), ListsAccounts: true})
+}
+
 // setTargets sets the targets, with the version of the software that each one has by its id.
 func (h *harness) setTargets(software func(id string) string) {
 	var targets []placer.Target
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -156,6 +156,9 @@
 		{"key revoked", "/once/", func(h *harness) {
 			h.catalog = cataloger.New(2, cataloger.Declarations{Routes: routes(), Accounts: []cataloger.Account{{Name: "other", Keys: []string{"k"}}}})
 		}, 401, "unknown_key"},
+		{"last key taken away", "/once/", func(h *harness) { h.takeAllKeys() }, 401, "unknown_key"},
+		{"last key taken away, contact age too high to deny unknown keys", "/once/", func(h *harness) { h.takeAllKeys(); h.contactAge = 3 * time.Second }, 503, "no_contact"},
+		{"last key taken away, contact age too high to use keys", "/once/", func(h *harness) { h.takeAllKeys(); h.contactAge = 5 * time.Second }, 503, "no_contact"},
 		{"too late", "/stream/", func(h *harness) { h.expectedTime = time.Second }, 503, "not_in_time"},
 		{"a request that crashes targets", "/often/", func(h *harness) { h.crashesTargets = true }, 503, "crashes_targets"},
 	} {
@@ -178,6 +181,18 @@
 	}
 }
 
+// Guards against an attempt with a key that was taken away with the last account meanwhile (CONFIG).
+func TestLastKeyIsCheckedBeforeEachSend(t *testing.T) {
+	for path, first := range map[string]targetBehaviour{"/once/": shed, "/often/": broken, "/resume/": broken} {
+		h := newHarness()
+		first.before = func() { h.takeAllKeys() }
+		h.behaviours = []targetBehaviour{first, good}
+		if seen := relayOnce(t, h, path); seen.status == http.StatusOK || len(h.attemptTargets) != 1 {
+			t.Errorf("%s: %+v after %d attempts", path, seen, len(h.attemptTargets))
+		}
+	}
+}
+
 // If a target may have run an earlier attempt, the refusal of a retry must not be marked as not run.
 func TestRefusalAfterRunIsNotMarkedNotRun(t *testing.T) {
 	for name, refuse := range map[string]func(h *harness){
