cataloger: an empty key belongs to no account (ROUTE)

Callers saw: if an account's list of keys held an empty text or null, requests without a key ran as that account's.

Cause: a request without a key has the empty key, which was looked up like any other. The other keys of such a list stay valid; the document is not refused, since the store accepts it.

Red before: cataloger TestEmptyKeyBelongsToNoAccount; assembler TestNoKeyIsValidOnceAllWereTakenAway, rows "empty key" and "null key" (the request without a key ran, at the running daemon and at one that started).

--- a/assembler/account_list_test.go
+++ b/assembler/account_list_test.go
@@ -15,6 +15,8 @@
 		"no apiKeys":   []any{map[string]any{"name": "account-1"}},
 		"null apiKeys": []any{map[string]any{"name": "account-1", "apiKeys": nil}},
 		"[] apiKeys":   []any{f.account("account-1", []string{})},
+		"empty key":    []any{f.account("account-1", []string{""})},
+		"null key":     []any{map[string]any{"name": "account-1", "apiKeys": []any{nil}}},
 	}
 }
 
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -189,7 +189,9 @@
 	}
 	for i := range declarations.Accounts {
 		for _, key := range declarations.Accounts[i].Keys {
-			c.accounts[key] = &declarations.Accounts[i]
+			if key != "" { // A request without a key has no account.
+				c.accounts[key] = &declarations.Accounts[i]
+			}
 		}
 	}
 	return c
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// Guards against requests without a key that run as an account's whose list of keys has an empty one (ROUTE).
+func TestEmptyKeyBelongsToNoAccount(t *testing.T) {
+	catalog := cataloger.New(1, cataloger.Declarations{Accounts: []cataloger.Account{{Name: "a", Keys: []string{"", "k"}}}})
+	if account, known := catalog.Account(""); known {
+		t.Errorf("the empty key belongs to %v", account)
+	}
+	if _, known := catalog.Account("k"); !known {
+		t.Error("the other key belongs to no account")
+	}
+}
+
 // A request id always maps to the same service, and only to a service whose weight is not zero.
 func TestServiceIsStableAndHasWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
