marker, tracker, assembler: a lost list of accounts opens no route (CONFIG, ROUTE)

Callers would see: after a version of the configuration without the list of accounts, requests run with keys that were taken away, with keys that never were, and with none.

Cause: each document was judged alone, and one without the field means that no key is needed. So that a daemon that starts later concludes the same, the fact that the deployment has accounts is a key in the store, written once by the first daemon in its order (package marker). Until a daemon has read whether it is there, it uses no configuration without a list. Each daemon logs an error once a version.

A deployment that never had accounts needs no keys (TestDeploymentWithoutAccountsNeedsNoKeys).

--- a/assembler/account_list_test.go
+++ b/assembler/account_list_test.go
@@ -7,6 +7,9 @@
 	"testing"
 )
 
+// accountsMark is the key in the store that tells that the deployment has client accounts.
+const accountsMark = "rill/accounts"
+
 // emptyLists are lists of accounts in which no key is left, by their texts in JSON.
 func (f *fleet) emptyLists() map[string]any {
 	return map[string]any{
@@ -48,6 +51,29 @@
 	}
 }
 
+// Guards against requests with any key that run since the configuration has lost its list of accounts (CONFIG, ROUTE). A daemon that
+// starts then never saw the list.
+func TestKeysAreRequiredAfterListOfAccountsIsLost(t *testing.T) {
+	f := newFleet(t, 2)
+	f.await("mark in the store", func() bool { return f.store.Value(accountsMark) != "" })
+	f.configureAccounts([]string{"after"}, nil)
+	for _, d := range f.daemons {
+		f.await("new configuration", func() bool { return f.call(d, http.MethodGet, "/after/a", "w", "").status != http.StatusNotFound })
+		f.expectKeysRefused(d, "list lost")
+		f.await("log line", func() bool { return strings.Contains(d.log.String(), "no list of accounts") })
+	}
+	f.expectKeysRefused(f.start(2), "list lost before the start")
+	for _, d := range f.daemons {
+		if lines := strings.Count(d.log.String(), "no list of accounts"); lines != 1 {
+			t.Errorf("%d log lines tell of the lost list", lines)
+		}
+	}
+	f.configure(nil, validKey)
+	for _, d := range f.daemons {
+		f.await("valid key", func() bool { return f.call(d, http.MethodGet, "/look/a", "v", "").status == http.StatusOK })
+	}
+}
+
 // A deployment that never had client accounts needs no keys.
 func TestDeploymentWithoutAccountsNeedsNoKeys(t *testing.T) {
 	f := newFleet(t, 0)
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -29,6 +29,7 @@
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/limiter"
 	"github.com/rosemaryrill/rosemaryrill/loader"
+	"github.com/rosemaryrill/rosemaryrill/marker"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
@@ -88,6 +89,8 @@
 	hostsPrefix = "rill/hosts/"
 	// softwarePrefix is the prefix of the keys with the versions of the targets' software, see package recorder.
 	softwarePrefix = "rill/software/"
+	// accountsKey is the key that tells that the deployment has client accounts, see package marker.
+	accountsKey = "rill/accounts"
 )
 
 // Settings are the parameters of a Daemon.
@@ -119,14 +122,16 @@
 	broadcaster  *broadcaster.Broadcaster
 	cachePolling cachePolling
 	origins      origins
-	delegation   delegation
-	sharing      *sharedStore
-	catchUp      catchUp
-	startTime    time.Time
-	stopping     atomic.Bool
-	cancel       context.CancelFunc
-	closeOnce    sync.Once
-	closeErr     error
+	// accounts remembers that the deployment has client accounts.
+	accounts   *marker.Marker
+	delegation delegation
+	sharing    *sharedStore
+	catchUp    catchUp
+	startTime  time.Time
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	closeOnce  sync.Once
+	closeErr   error
 }
 
 // New starts a daemon and returns once its ports are open.
@@ -153,6 +158,9 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.origins = d.newOrigins()
 	d.view = d.newDeploymentView()
+	d.accounts = marker.New(marker.Settings{
+		Name: settings.Name, Store: d.store, Key: accountsKey, OnMarked: d.view.declarations.RequireKeys, Logger: d.loggerFor("marker"),
+	})
 	d.coordination = d.newCoordination()
 	d.view.upgrader = d.coordination.upgrader
 	d.cachePolling.poller = d.newPoller()
@@ -180,6 +188,7 @@
 		f.Start(ctx)
 	}
 	d.origins.start(ctx)
+	d.accounts.Start(ctx)
 	d.delegation.prober.Start(ctx)
 	d.coordination.presenceLease.Start(ctx)
 	d.coordination.upgraderLease.Start(ctx)
@@ -195,7 +204,7 @@
 	for _, settings := range []follower.Settings{
 		{Prefix: platform.DeclarationsPrefix, Sink: v.declarations, Wait: declarationsWatchTimeout},
 		{Prefix: platform.TargetsPrefix, Sink: v.targets, Wait: targetsWatchTimeout, BatchDelay: d.batchDelay},
-		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers, softwarePrefix: d.origins.versions}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
+		{Prefix: daemonsPrefix, Sink: tracker.PrefixMux{upgrader.KeyPrefix: d.coordination.upgrader, hostsPrefix: v.peers, softwarePrefix: d.origins.versions, accountsKey: d.accounts}, Wait: daemonsWatchTimeout, BatchDelay: d.batchDelay},
 	} {
 		settings.Store, settings.Contact, settings.Logger = d.sharing.reader, contact, d.loggerFor("follower")
 		v.followers = append(v.followers, follower.New(d.noticeRestores(d.sharing.copied(settings))))
@@ -247,6 +256,7 @@
 	}
 	d.catchUp.tasks.Wait()
 	group.Add(d.origins.close())
+	group.Add(d.accounts.Close())
 	if d.delegation.prober != nil {
 		group.Add(d.delegation.close())
 	}
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -105,6 +105,7 @@
 	d.broadcaster.SetPeers(receivers)
 	d.view.placer.SetPeers(names)
 	d.setOriginPeers(receivers, names)
+	d.accounts.SetPeers(names)
 	d.setDelegates(receivers)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
 	d.catchUpWith(receivers)
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -28,12 +28,17 @@
 	caughtUp             func() bool
 }
 
-// Catalog returns the current configuration, or nil before the first was read and other daemons were asked for theirs.
+// Catalog returns the current configuration, or nil before the first was read and other daemons were asked for theirs. One that
+// requires no keys is not used before the daemon has read whether the deployment has accounts.
 func (v *deploymentView) Catalog() *cataloger.Catalog {
 	if !v.caughtUp() {
 		return nil
 	}
-	return v.declarations.Catalog()
+	catalog := v.declarations.Catalog()
+	if catalog == nil || !catalog.RequiresKeys() && !v.daemonsFollower.Listed() {
+		return nil
+	}
+	return catalog
 }
 
 // ContactAge returns the time since the configuration was last known to be the newest.
@@ -79,6 +84,9 @@
 			v.placer.SetEngines(engineCapacities(catalog))
 			v.placer.SetCacheStore(cacheStore(catalog))
 			d.cachePolling.setCacheStore(catalog)
+			if catalog.ListsAccounts() {
+				d.accounts.Declare()
+			}
 		},
 		OnWeights: func(weights tracker.Weights) {
 			d.logger.Info("operators requested new weights", "model", weights.Model, "version", weights.Version)
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -151,12 +151,14 @@
 
 // Catalog is one version of the declarations with indexes. Its methods are safe for concurrent use.
 type Catalog struct {
-	version      int64
-	limits       Limits
-	byHost       map[string][]*Route
-	services     map[string]*Service // by name
-	accounts     map[string]*Account // by API key
-	requiresKeys bool
+	version       int64
+	limits        Limits
+	listsAccounts bool
+	byHost        map[string][]*Route
+	services      map[string]*Service // by name
+	accounts      map[string]*Account // by API key
+	// keysRequired is set if requests need a key although no accounts are listed.
+	keysRequired bool
 	// longestStream is the longest timeout of a route with streams.
 	longestStream time.Duration
 	// sharedNamespace is the cache namespace of all accounts that are not isolated.
@@ -171,7 +173,7 @@
 		byHost:          make(map[string][]*Route),
 		services:        make(map[string]*Service, len(declarations.Services)),
 		accounts:        make(map[string]*Account),
-		requiresKeys:    declarations.ListsAccounts || len(declarations.Accounts) > 0,
+		listsAccounts:   declarations.ListsAccounts || len(declarations.Accounts) > 0,
 		sharedNamespace: sharedNamespace(declarations.Accounts),
 	}
 	for i := range declarations.Routes {
@@ -206,9 +208,19 @@
 // LongestStream returns the longest timeout of a route with streams; zero if there are none.
 func (c *Catalog) LongestStream() time.Duration { return c.longestStream }
 
+// ListsAccounts reports whether the configuration has a list of accounts, which may be empty.
+func (c *Catalog) ListsAccounts() bool { return c.listsAccounts }
+
 // RequiresKeys reports whether requests on routes that are not anonymous need a key, which they do if accounts are listed. If
 // the list is empty, no key is valid.
-func (c *Catalog) RequiresKeys() bool { return c.requiresKeys }
+func (c *Catalog) RequiresKeys() bool { return c.listsAccounts || c.keysRequired }
+
+// WithKeysRequired returns the catalog for a deployment that has accounts, whether or not this version lists them.
+func (c *Catalog) WithKeysRequired() *Catalog {
+	required := *c
+	required.keysRequired = true
+	return &required
+}
 
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Catalog) Match(host, path string) (route *Route, found bool) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -1,7 +1,8 @@
 // Package tracker maintains a daemon's view of its deployment from the platform's store: the accepted
 // configuration, the wanted weights, the targets and the other daemons.
 //
-// The configuration is only replaced by newer versions. A target whose entry is deleted is removed at once,
+// The configuration is only replaced by newer versions. Once one has listed client accounts, keys are required by all later ones.
+// A target whose entry is deleted is removed at once,
 // unless the store was unreachable shortly before: the lease of a live target may then have expired, and its entry
 // with it, before the target could write the entry again. Such a target is kept for MissingEntryGrace.
 //
@@ -56,10 +57,12 @@
 // DeclarationTracker tracks the items that operators declare. Its methods are safe for concurrent use.
 type DeclarationTracker struct {
 	settings DeclarationTrackerSettings
-	// applying makes the calls of apply follow each other, and protects odd.
+	// applying makes the calls of apply and RequireKeys follow each other, and protects odd and keysRequired.
 	applying sync.Mutex
 	catalog  atomic.Pointer[cataloger.Catalog]
 	odd      oddEntries
+	// keysRequired is set once the deployment is known to have client accounts.
+	keysRequired bool
 }
 
 // NewDeclarationTracker returns a DeclarationTracker without a catalog.
@@ -116,11 +119,36 @@
 	if current != nil && declared.Catalog.Version() <= current.Version() {
 		return
 	}
-	d.catalog.Store(declared.Catalog)
+	d.keysRequired = d.keysRequired || declared.Catalog.ListsAccounts()
+	d.putInForce(declared.Catalog)
 	d.settings.Logger.Info("configuration in force", "version", declared.Catalog.Version(), "revision", item.Version)
 	d.settings.OnCatalog(declared.Catalog)
 }
 
+// RequireKeys records that the deployment has client accounts. A configuration without a list of them has lost it then, so no key
+// is valid: requests would otherwise run with keys that were taken away, or with any.
+func (d *DeclarationTracker) RequireKeys() {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if d.keysRequired {
+		return
+	}
+	d.keysRequired = true
+	if current := d.catalog.Load(); current != nil {
+		d.putInForce(current)
+	}
+}
+
+// putInForce replaces the catalog. The caller holds applying.
+func (d *DeclarationTracker) putInForce(catalog *cataloger.Catalog) {
+	if d.keysRequired && !catalog.RequiresKeys() {
+		d.settings.Logger.Error("the configuration has no list of accounts, but the deployment has accounts: no key is valid, and only anonymous routes are served",
+			"version", catalog.Version())
+		catalog = catalog.WithKeysRequired()
+	}
+	d.catalog.Store(catalog)
+}
+
 // MissingEntryGrace is how long a target is kept after its entry was found missing right after an outage of the
 // store, or was replaced by one that names no target. Live targets write their entries again within two seconds.
 const MissingEntryGrace = 1800 * time.Millisecond
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -124,6 +124,43 @@
 	}
 }
 
+// Guards against a daemon that needs no keys any more since a configuration has lost its list of accounts (CONFIG, ROUTE), also if
+// it learns only later that there was one.
+func TestKeysStayRequired(t *testing.T) {
+	for _, c := range []struct {
+		steps string
+		want  bool
+	}{
+		{"without", false},
+		{"with", true},
+		{"with without", true},
+		{"with without without", true},
+		{"marked without", true},
+		{"without marked", true},
+		{"without marked without", true},
+		{"without with", true},
+	} {
+		lists := false
+		declarations := tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
+			Decode: func(item storer.Item) (tracker.Declared, error) {
+				return tracker.Declared{Catalog: cataloger.New(int64(item.Version), cataloger.Declarations{ListsAccounts: lists})}, nil
+			},
+			OnCatalog: func(*cataloger.Catalog) {}, Logger: discardLogger(),
+		})
+		for i, step := range strings.Fields(c.steps) {
+			if step == "marked" {
+				declarations.RequireKeys()
+				continue
+			}
+			lists = step == "with"
+			declarations.HandleEvents([]storer.Event{put("c", "", storer.Version(i+1))}, false)
+		}
+		if got := declarations.Catalog().RequiresKeys(); got != c.want {
+			t.Errorf("%s: keys are required: %t", c.steps, got)
+		}
+	}
+}
+
 func TestPeersExcludeOwnDaemon(t *testing.T) {
 	var known []tracker.Peer
 	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
