--- a/connector/connector.go
+++ b/connector/connector.go
@@ -140,20 +140,20 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
-// Response is the response of a target. If it is Delimited, Body ends with io.EOF only if it was received completely.
+// Response is the response of a target. Body ends with io.EOF only if it was received completely, as far as that can be known. If the
+// response is not Delimited, that takes that the target had the whole request before it ended the connection.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
 	// Delimited is set if the response states where its body ends, by a length or by chunks. Otherwise the body ends with
-	// the connection, so that an incomplete body ends with io.EOF too.
+	// the connection, so that one that a target broke off without a reset ends with io.EOF too.
 	Delimited bool
 
 	body       io.ReadCloser
 	connector  *Connector
 	connection *connection
-	// writeResult receives the result of writing the request.
-	writeResult <-chan error
+	upload     *upload
 	// cancelAfterFunc cancels the closing of the connection at the end of the request's context. It returns false if
 	// the context has ended already.
 	cancelAfterFunc func() bool
@@ -237,7 +237,7 @@
 		return nil, &UnsentError{Cause: err}
 	}
 	cancelAfterFunc := context.AfterFunc(ctx, conn.abort) // Makes pending reads fail.
-	writeResult := conn.write(request.encode())
+	upload := conn.write(request.encode())
 	head, err := conn.readResponse(request)
 	if err != nil {
 		cancelAfterFunc()
@@ -248,7 +248,7 @@
 	response = &Response{
 		Status: head.StatusCode, Header: head.Header, body: head.Body,
 		Delimited: head.ContentLength >= 0 || len(head.TransferEncoding) > 0,
-		connector: c, connection: conn, writeResult: writeResult, cancelAfterFunc: cancelAfterFunc,
+		connector: c, connection: conn, upload: upload, cancelAfterFunc: cancelAfterFunc,
 		keepAlive: !head.Close && !request.Exclusive && !conn.suspect && len(conn.carried) < maxCarried,
 	}
 	response.Body = &bodyReader{response: response}
@@ -309,13 +309,13 @@
 }
 
 // write sends the request. A request with a large body is written in a goroutine, so that the caller can read
-// the response meanwhile. The channel receives the result of the write.
-func (c *connection) write(head, body []byte) <-chan error {
-	result := make(chan error, 1)
+// the response meanwhile.
+func (c *connection) write(head, body []byte) *upload {
+	u := newUpload()
 	if len(body) <= maxInlineBytes {
 		_, err := c.Write(append(head, body...))
-		result <- err
-		return result
+		u.result <- err
+		return u
 	}
 	c.startWatch()
 	watch := c.watch
@@ -325,9 +325,9 @@
 			_, err = c.Write(body)
 		}
 		watch.setWritten()
-		result <- err
+		u.result <- err
 	}()
-	return result
+	return u
 }
 
 // explain returns the error of a read, or why the watch closed the connection.
@@ -405,21 +405,36 @@
 	return fallback
 }
 
-// bodyReader reads the body and records whether it was received completely.
+// bodyReader reads the body and records whether it was received completely. Once it has returned an error, it returns that again.
 type bodyReader struct {
 	response *Response
+	err      error
 }
 
 func (b *bodyReader) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err = b.response.body.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	b.err = b.classify(err)
+	return n, b.err
+}
+
+// classify returns the error of a read. It is io.EOF only if the body is whole.
+func (b *bodyReader) classify(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		if err := b.response.verifyEnd(); err != nil {
+			return err
+		}
 		b.response.bodyComplete = true
-		return n, io.EOF
-	}
-	if err != nil && b.response.connection != nil {
-		err = b.response.connection.explain(err)
+		return io.EOF
+	case b.response.connection != nil:
+		return b.response.connection.explain(err)
 	}
-	return n, err
+	return err
 }
 
 // Close makes the connection available for reuse if the context of the request is still active, the
@@ -433,7 +448,7 @@
 		}
 		r.connection.watch.stop()
 		r.connection.watch = nil
-		if contextActive && r.bodyComplete && r.keepAlive && r.writeSucceeded() && r.connection.reader.Buffered() == 0 {
+		if contextActive && r.bodyComplete && r.keepAlive && r.upload.succeeded() && r.connection.reader.Buffered() == 0 {
 			r.connection.used = true
 			r.connector.release(r.connection)
 			return
@@ -443,15 +458,6 @@
 	return nil
 }
 
-func (r *Response) writeSucceeded() bool {
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // IsHopByHop reports whether a header is hop-by-hop: it applies to a single connection and must not be
 // forwarded.
 func IsHopByHop(name string) bool {
--- /dev/null
+++ b/connector/upload.go
@@ -0,0 +1,65 @@
+package connector
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// ErrEndedDuringUpload is the cause if the end of the connection is the only sign of the end of a body, and came before the target had
+// the whole request. The target may have reset the connection in the middle of the body: the kernel reports that once, and the
+// write of the request may have been told.
+var ErrEndedDuringUpload = fmt.Errorf("the connection ended before the target had the whole request: %w", io.ErrUnexpectedEOF)
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// upload is the writing of a request.
+type upload struct {
+	// result receives the result of the write.
+	result chan error
+	// failure is the result once ended has received it.
+	failure  error
+	received bool
+}
+
+func newUpload() *upload { return &upload{result: make(chan error, 1)} }
+
+// end returns the result of the write. One that still waits for the target fails.
+func (u *upload) end(conn *connection) error {
+	if !u.received {
+		_ = conn.SetWriteDeadline(longAgo) // Fails only if the connection is closed, which ends the write too.
+		u.failure, u.received = <-u.result, true
+	}
+	return u.failure
+}
+
+// succeeded reports whether the whole request was written, without waiting for that.
+func (u *upload) succeeded() bool {
+	if u.received {
+		return u.failure == nil
+	}
+	select {
+	case u.failure = <-u.result:
+		u.received = true
+		return u.failure == nil
+	default:
+		return false
+	}
+}
+
+// verifyEnd returns an error if the end of the connection, at which the body ends, does not show that the body is whole. A target that
+// has read the whole request has acknowledged all of it before it ends the connection.
+func (r *Response) verifyEnd() error {
+	if r.Delimited || r.connection == nil {
+		return nil
+	}
+	if err := r.upload.end(r.connection); err != nil {
+		return errors.Join(ErrEndedDuringUpload, err)
+	}
+	if state, err := r.connection.sendState(); err == nil && state.Outstanding {
+		return ErrEndedDuringUpload
+	}
+	return nil
+}
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -60,6 +60,10 @@
 	BrittleFrom time.Time
 	// SaysLeaving makes the target say in all answers that it is leaving. Its entry in the store stays as it is.
 	SaysLeaving bool
+	// EarlyAnswer makes the target answer each request before it has read the body, without a length, with as many bytes of a body. It
+	// resets the connection after EarlyReset. Zero disables this.
+	EarlyAnswer int
+	EarlyReset  time.Duration
 	// RetryAfter makes the target refuse all requests with this value as the time after which it wants the next one. Empty
 	// disables this.
 	RetryAfter string
@@ -387,6 +391,10 @@
 	}
 	defer t.endRun(run)
 	w.Header().Set("X-Response-Seal", "seal-"+t.settings.ID)
+	if faults.EarlyAnswer > 0 {
+		_ = listener.AnswerAndReset(w, t.rawAnswer(w, "200")+strings.Repeat("e", faults.EarlyAnswer), faults.EarlyReset) // The caller may have left.
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -401,6 +409,18 @@
 	}
 }
 
+// rawAnswer returns the head of an answer without a length, with three digits as its status.
+func (t *Target) rawAnswer(w http.ResponseWriter, status string) string {
+	contentType := "text/plain"
+	if t.settings.Model != "" {
+		contentType = "text/event-stream"
+	}
+	w.Header().Set("Content-Type", contentType)
+	var head strings.Builder
+	_ = w.Header().Write(&head) // Writing to a strings.Builder does not fail.
+	return "HTTP/1.1 " + status + " Odd\r\n" + head.String() + "Connection: close\r\n\r\n"
+}
+
 func (t *Target) writeStream(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	if hasSharedPart(r.Header.Get("X-Prompt-Prefix"), faults.CrashOnPart) {
--- a/listener/pause.go
+++ b/listener/pause.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets how long Close waits for unsent bytes, see net.TCPConn.
+func (c *pausedConnection) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Read implements net.Conn.
 func (c *pausedConnection) Read(p []byte) (n int, err error) {
 	c.pause.wait()
