classifier, connector, delegator: three digits that are no status are no answer (MIXED)

Callers saw: with 000, 099 or 101 in place of a status, no answer until the deadline, or whatever came next on the connection; 600 and 999 reached them as they were.

Cause: http.ReadResponse accepts any three digits, and everything below 200 counted as informational. classifier is the one place that decides: 101 and what lies outside 100 to 599 is no status, ends the attempt at once and closes the connection. The answer of another daemon is checked too, since one of an older build may pass such a number on.

The emulator of targets plays odd statuses.

--- a/assembler/early_answer_test.go
+++ b/assembler/early_answer_test.go
@@ -80,3 +80,24 @@
 	}
 	f.await("answer of a sound target", func() bool { return f.call(d, http.MethodPost, "/order/x", "sound", "small").status == http.StatusOK })
 }
+
+// Guards against three digits that are no status and reach a caller as an answer, or hold the request until its deadline (MIXED, CONFIG).
+func TestNumberThatIsNoStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		f := newFleet(t, 1)
+		targets := append(f.engines, f.services...)
+		for _, target := range targets {
+			target.SetFaults(hostingemulator.TargetFaults{Status: status})
+		}
+		for _, path := range []string{"/order/x", "/look/x", "/tell/x", "/ask/x"} {
+			id, began := path+status, time.Now()
+			r := f.call(f.daemons[0], http.MethodPost, path, id, id, "X-Model", model, "X-Token-Count", "300,6", "X-Prompt-Prefix", id+":300")
+			if r.err != nil || r.status != http.StatusBadGateway || time.Since(began) > f.routeTimeout/2 {
+				t.Errorf("%s got %d, %v after %s", id, r.status, r.err, time.Since(began))
+			}
+			if runs := len(runsOf(targets, id)); runs == 0 || path == "/order/x" && runs > 1 {
+				t.Errorf("%s ran %d times", id, runs)
+			}
+		}
+	}
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -36,6 +36,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/classifier"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
@@ -140,6 +141,16 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Cause }
 
+// StatusError is the cause if a target sent a number that is no status in place of an answer.
+type StatusError struct {
+	Status int
+}
+
+// Error names the number.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%03d is no status of an answer", e.Status)
+}
+
 // Response is the response of a target. Body ends with io.EOF only if it was received completely, as far as that can be known. If the
 // response is not Delimited, that takes that the target had the whole request before it ended the connection.
 type Response struct {
@@ -350,7 +361,10 @@
 			return nil, err
 		}
 		c.limiter.inHead = false
-		if response.StatusCode < http.StatusOK {
+		switch classifier.Classify(response.StatusCode) {
+		case classifier.None:
+			return nil, &StatusError{Status: response.StatusCode}
+		case classifier.Informational:
 			continue
 		}
 		if c.belongs(request, response.Header) {
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -139,3 +140,27 @@
 		}
 	}
 }
+
+// Guards against a status that is none and is taken for an answer, or awaited until the deadline (MIXED).
+func TestNumberThatIsNoStatusEndsTheRequest(t *testing.T) {
+	const (
+		withBody  = "HTTP/1.1 STATUS Odd\nX-Id: mine\nContent-Length: 2\n\nno"
+		alone     = "HTTP/1.1 STATUS Odd\nX-Id: mine\n\n"
+		andAnswer = alone + "HTTP/1.1 200 OK\nX-Id: mine\nContent-Length: 2\n\nok"
+	)
+	for _, status := range []string{"000", "099", "101", "600", "999", "-01", "+20"} {
+		for _, text := range []string{withBody, alone, andAnswer} {
+			target := newScriptedTarget(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+				writeText(conn, strings.Replace(text, "STATUS", status, 1))
+				return true
+			})
+			c := connector.New(connector.Settings{})
+			body, err := send(t, c, target.address, newRequest("mine"))
+			var noResponse *connector.NoResponseError
+			if !errors.As(err, &noResponse) || errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("%s: %q, %v; want a NoResponseError at once", strings.Replace(text, "STATUS", status, 1), body, err)
+			}
+			_ = c.Close()
+		}
+	}
+}
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -37,6 +37,7 @@
 	"connectrpc.com/connect"
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/classifier"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/dialer"
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
@@ -214,10 +215,15 @@
 	case *hostingv1.RelayResponse_Refusal:
 		return decodeRefusal(part.Refusal)
 	case *hostingv1.RelayResponse_Head:
+		status := int(part.Head.GetStatus())
+		if classifier.Classify(status) != classifier.Final {
+			_ = stream.Close() // Nothing more is expected of it.
+			return nil, &connector.NoResponseError{Cause: &connector.StatusError{Status: status}}
+		}
 		body := &answerBody{stream: stream, end: end}
 		return &relayer.DelegatedAnswer{
 			Daemon:   daemon.Name,
-			Response: connector.NewResponse(int(part.Head.GetStatus()), decodeHeaders(part.Head.GetHeaders()), body),
+			Response: connector.NewResponse(status, decodeHeaders(part.Head.GetHeaders()), body),
 			Body:     body,
 		}, nil
 	}
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// Guards against the answer of another daemon, perhaps of an older release, whose status is none (MIXED).
+func TestNumberThatIsNoStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 600, 1 << 20} {
+		other := newDaemon(t, "a", "north", func(_ context.Context, w http.ResponseWriter, _ delegator.Request) { w.WriteHeader(status) })
+		answer, err := newDelegator(t, other.Daemon).Send(t.Context(), service, newCall())
+		var noResponse *connector.NoResponseError
+		if !errors.As(err, &noResponse) {
+			t.Errorf("status %d: %+v, %v", status, answer, err)
+		}
+	}
+}
+
 // Guards against a refusal that concerns one daemon only ending a request that another one could serve (RECOVER), and against asking
 // that daemon again for each request.
 func TestDaemonThatRefusesForItselfIsLeftOut(t *testing.T) {
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -64,6 +64,8 @@
 	// resets the connection after EarlyReset. Zero disables this.
 	EarlyAnswer int
 	EarlyReset  time.Duration
+	// Status replaces the three digits of the status of the answer to each request. Empty disables this.
+	Status string
 	// RetryAfter makes the target refuse all requests with this value as the time after which it wants the next one. Empty
 	// disables this.
 	RetryAfter string
@@ -400,6 +402,8 @@
 		return
 	}
 	switch {
+	case faults.Status != "":
+		_ = listener.AnswerAndReset(w, t.rawAnswer(w, faults.Status), oddStatusReset) // The caller may have left.
 	case faults.FailRequests:
 		w.WriteHeader(http.StatusInternalServerError)
 	case t.settings.Model == "":
@@ -409,6 +413,9 @@
 	}
 }
 
+// oddStatusReset is how long a target keeps the connection open after an answer with TargetFaults.Status.
+const oddStatusReset = 10 * time.Second
+
 // rawAnswer returns the head of an answer without a length, with three digits as its status.
 func (t *Target) rawAnswer(w http.ResponseWriter, status string) string {
 	contentType := "text/plain"
