--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -23,6 +23,12 @@
 // so that the count that blockWrites returns is final.
 type trackedConn struct {
 	net.Conn
+	// socket is the connection under those that count and close.
+	socket net.Conn
+
+	// writing is held during a write, and protects upload.
+	writing sync.Mutex
+	upload  upload
 
 	mu            sync.Mutex
 	writesBlocked bool
@@ -45,7 +51,11 @@
 	}
 	c.written += uint64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err = c.Conn.Write(p)
+	c.upload.wrote(p[:n])
+	return n, err
 }
 
 // blockWrites makes further writes fail and returns how many bytes were written so far.
@@ -124,6 +134,7 @@
 	if conn, ok := info.Conn.(*trackedConn); ok {
 		a.conn = conn
 		a.writtenBefore = conn.bytesWritten()
+		conn.begin(newUpload(a.request.ContentLength))
 		a.connCarried = conn.carry(cmp.Or(a.request.Header.Get(headerRequestID), a.request.URL.Path))
 	}
 }
@@ -139,9 +150,19 @@
 		a.cancel(err)
 		return nil, transportErr
 	}
+	if conn := a.connection(); conn != nil && endsWithConnection(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, conn: conn}
+	}
 	return response, nil
 }
 
+// connection returns the connection that was assigned to the request; nil if it is not tracked.
+func (a *attempt) connection() *trackedConn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn
+}
+
 // transportError converts an error of the transport to a NotSentError or a BrokenError.
 func (a *attempt) transportError(err error) error {
 	cancelled := a.request.Context().Err() != nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,14 +162,19 @@
 // each request opens a new connection and closes it afterwards.
 func newTransport(settings Settings, singleUse bool) *http.Transport {
 	netDialer := &net.Dialer{Timeout: settings.ConnectTimeout, KeepAlive: keepAliveInterval}
-	dial := settings.ByteCounter.Wrap(dialer.Abandoning(netDialer.DialContext))
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
+			tracked := &trackedConn{}
+			dial := func(ctx context.Context, network, address string) (conn net.Conn, err error) {
+				tracked.socket, err = netDialer.DialContext(ctx, network, address)
+				return tracked.socket, err
+			}
+			var err error
+			tracked.Conn, err = settings.ByteCounter.Wrap(dialer.Abandoning(dial))(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: conn}, nil
+			return tracked, nil
 		},
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
