--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -17,6 +17,8 @@
 	"github.com/zeebo/xxh3"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rosemaryrill/rosemaryrill/classifier"
 )
 
 // trackedConn counts the bytes written to a connection. After blockWrites all further writes fail,
@@ -150,12 +152,24 @@
 		a.cancel(err)
 		return nil, transportErr
 	}
+	if classifier.Classify(response.StatusCode) != classifier.Final {
+		return nil, a.statusError(response)
+	}
 	if conn := a.connection(); conn != nil && endsWithConnection(response) {
 		response.Body = &unframedBody{ReadCloser: response.Body, conn: conn}
 	}
 	return response, nil
 }
 
+// statusError returns the error for a response with a number that is no status, and closes its connection.
+func (a *attempt) statusError(response *http.Response) error {
+	_ = response.Body.Close() // Nothing of it is needed.
+	a.closeConn()
+	a.cancel(nil)
+	a.client.counters.broken.Add(1)
+	return &BrokenError{Target: a.target, Cause: &StatusError{Status: response.StatusCode}, Sent: true}
+}
+
 // connection returns the connection that was assigned to the request; nil if it is not tracked.
 func (a *attempt) connection() *trackedConn {
 	a.mu.Lock()
--- a/forwarder/early_test.go
+++ b/forwarder/early_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,3 +132,29 @@
 		close(release)
 	}
 }
+
+// Guards against a status that is none and is taken for an answer, or awaited until the deadline (MIXED).
+func TestNumberThatIsNoStatusIsNoAnswer(t *testing.T) {
+	const (
+		withBody  = "HTTP/1.1 STATUS Odd\r\nRill-Request-Id: r\r\nContent-Length: 2\r\n\r\nno"
+		alone     = "HTTP/1.1 STATUS Odd\r\nRill-Request-Id: r\r\n\r\n"
+		andAnswer = alone + "HTTP/1.1 200 OK\r\nRill-Request-Id: r\r\nContent-Length: 2\r\n\r\nok"
+	)
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for _, text := range []string{withBody, alone, andAnswer} {
+			address := listenEarly(t, func(conn *net.TCPConn, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, strings.Replace(text, "STATUS", status, 1))
+				time.Sleep(time.Second)
+			})
+			for _, idempotent := range []bool{false, true} {
+				began := time.Now()
+				answer, err := upload(t, address, 10, idempotent)
+				var broken *forwarder.BrokenError
+				if !errors.As(err, &broken) || !broken.Sent || time.Since(began) > time.Second/2 {
+					t.Errorf("status %s: %+v, %v after %s; want a BrokenError at once", status, answer, err, time.Since(began))
+				}
+			}
+		}
+	}
+}
