--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -51,6 +51,32 @@
 	}
 }
 
+// Guards against a check that believes an answer that ends with its connection, or one without a status: it would hide that a part of an
+// answer was passed on as the whole (MIXED).
+func TestAnswerThatMayBeCutIsLost(t *testing.T) {
+	for answer, want := range map[string]checker.Verdict{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                            checker.Complete,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n": checker.Complete,
+		"HTTP/1.1 200 OK\r\n\r\nok":                                                 checker.Lost,
+		"HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok":                           checker.Lost,
+		"HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok":                           checker.Lost,
+	} {
+		daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = conn.Write([]byte(answer))
+			_ = conn.Close()
+		}))
+		if result := checker.New(checker.Settings{URL: daemon.URL}).Get(t.Context(), "/x"); result.Verdict != want {
+			t.Errorf("%q: %+v, want %s", answer, result, want)
+		}
+		daemon.Close()
+	}
+}
+
 func TestCountsAnswersCorrect(t *testing.T) {
 	var tally checker.Tally
 	tally.Add(checker.Result{Verdict: checker.Complete})
--- a/checker/order.go
+++ b/checker/order.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/classifier"
 )
 
 // PlaceOrder sends a non-idempotent call with an idempotency key. An answer with a status below 400 counts as complete; only
@@ -38,9 +41,28 @@
 	if err != nil {
 		return Result{Verdict: Lost, Status: response.StatusCode, Cause: err}
 	}
+	if isCut, cause := mayBeCut(response); isCut {
+		return Result{Verdict: Lost, Status: response.StatusCode, Body: string(answer), Cause: cause}
+	}
 	return serviceResult(response.StatusCode, answer)
 }
 
+var (
+	errUnframed = errors.New("the answer states no end, so that a part of it would look the same")
+	errNoStatus = errors.New("the answer has no status")
+)
+
+// mayBeCut reports whether an answer can't be told from a part of one, or from bytes that are no answer.
+func mayBeCut(response *http.Response) (isCut bool, cause error) {
+	switch {
+	case classifier.Classify(response.StatusCode) != classifier.Final:
+		return true, errNoStatus
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		return true, errUnframed
+	}
+	return false, nil
+}
+
 func serviceResult(status int, body []byte) Result {
 	if status < http.StatusBadRequest {
 		return Result{Verdict: Complete, Status: status, Body: string(body)}
--- a/serviceemulator/faults.go
+++ b/serviceemulator/faults.go
@@ -20,6 +20,11 @@
 	NotRunAnswers int
 	// Leaving makes the service report that it is leaving and refuse calls.
 	Leaving bool
+	// EarlyAnswer makes the service answer an order before it has read and run it, without a length, with as many bytes of a body, and
+	// reset the connection. Zero disables this.
+	EarlyAnswer int
+	// Status replaces the three digits of the status of the answer to an order, which runs. Empty disables this.
+	Status string
 	// CrashText crashes the service when the body of an order contains it. Empty disables
 	// this.
 	CrashText string
--- a/serviceemulator/orders.go
+++ b/serviceemulator/orders.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 const (
@@ -35,6 +37,11 @@
 // Runs reveals a repeated order.
 func (s *Service) handlePlace(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	inc := s.beginCall(r)
+	if size := s.Faults().EarlyAnswer; size > 0 {
+		s.setIdentityHeaders(w, r, inc)
+		_ = listener.AnswerAndReset(w, rawAnswer(w, "200")+strings.Repeat("e", size), resetDelay) // The daemon may have left.
+		return
+	}
 	key := callKey{account: r.Header.Get(headerAccount), idempotencyKey: r.Header.Get(headerIdempotencyKey)}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var call wireOrder
@@ -60,11 +67,25 @@
 	s.waitWhileFrozen(r, inc)
 	s.setIdentityHeaders(w, r, inc)
 	w.Header().Set("Content-Type", "application/json")
+	if status := s.Faults().Status; status != "" {
+		_ = listener.AnswerAndReset(w, rawAnswer(w, status)+stored.body, resetDelay) // The daemon may have left.
+		return
+	}
 	w.WriteHeader(stored.status)
 	// An error means that the client has disconnected.
 	_, _ = io.WriteString(w, stored.body)
 }
 
+// resetDelay is the time from an answer of Faults.EarlyAnswer or Faults.Status to the reset of its connection.
+const resetDelay = 5 * time.Millisecond
+
+// rawAnswer returns the head of an answer without a length, with three digits as its status.
+func rawAnswer(w http.ResponseWriter, status string) string {
+	var head strings.Builder
+	_ = w.Header().Write(&head) // Writing to a strings.Builder does not fail.
+	return "HTTP/1.1 " + status + " Odd\r\n" + head.String() + "Connection: close\r\n\r\n"
+}
+
 // startOrder marks an order as running. It reports false if the order may not run.
 func (s *Service) startOrder(inc *incarnation, key callKey) bool {
 	s.mu.Lock()
