listener, connector, forwarder, assembler: one raw target for tests; changes

Four tests had a loop of their own that accepts connections, reads a head and writes what need not be HTTP; listener.ListenRaw serves them all, and its Close waits. No product code, no assertion and no case changed.

--- a/assembler/cut_head_test.go
+++ b/assembler/cut_head_test.go
@@ -1,14 +1,16 @@
 package assembler_test
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 // cutAnswers are whole answers to the request %s, by the route on which they come.
@@ -55,28 +57,14 @@
 }
 
 // cuttingTarget listens as a target that writes the text to each request and closes the connection.
-func cuttingTarget(t *testing.T, text *atomic.Pointer[string]) net.Addr {
+func cuttingTarget(t *testing.T, text *atomic.Pointer[string]) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", loopback)
+	target, err := listener.ListenRaw(func(conn *net.TCPConn, request *http.Request) {
+		_, _ = fmt.Fprint(conn, strings.ReplaceAll(*text.Load(), "%s", request.Header.Get("X-Request-Id")))
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprint(conn, strings.ReplaceAll(*text.Load(), "%s", request.Header.Get("X-Request-Id")))
-			}()
-		}
-	}()
-	return listener.Addr()
+	t.Cleanup(func() { _ = target.Close() })
+	return target.Address()
 }
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -1,7 +1,6 @@
 package connector_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 const (
@@ -28,26 +28,12 @@
 // listenEarly starts a target that passes each connection on which the head of a request has arrived to answer, and closes it then.
 func listenEarly(t *testing.T, answer func(conn *net.TCPConn, request *http.Request)) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	target, err := listener.ListenRaw(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if request, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err == nil {
-					answer(conn.(*net.TCPConn), request)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(func() { _ = target.Close() })
+	return target.Address()
 }
 
 // upload sends a request with a body and returns the answer as its caller gets it.
@@ -97,12 +83,12 @@
 // request (MIXED).
 func TestAnswerBeforeTheUploadHasNoProvenEnd(t *testing.T) {
 	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
 	address := listenEarly(t, func(conn *net.TCPConn, _ *http.Request) {
 		writeText(conn, unframedHead+part)
 		_ = conn.CloseWrite()
 		<-release
 	})
+	t.Cleanup(func() { close(release) })
 	if _, body, err := upload(t, address, longUpload); !errors.Is(err, connector.ErrEndedDuringUpload) || !errors.Is(err, io.ErrUnexpectedEOF) || body != part {
 		t.Errorf("body %q, error %v", body, err)
 	}
--- a/forwarder/cut_head_test.go
+++ b/forwarder/cut_head_test.go
@@ -1,38 +1,25 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/forwarder"
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 // Guards against a service's answer that breaks off in its head, or in a body of a stated length, and counts as whole (MIXED): the
 // service stops at each byte of its answer and closes the connection.
 func TestAnswerCutAtAnyByteIsNoAnswer(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var answer atomic.Pointer[string]
+	service, err := listener.ListenRaw(func(conn *net.TCPConn, _ *http.Request) { _, _ = conn.Write([]byte(*answer.Load())) })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	var answer atomic.Pointer[string]
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = conn.Write([]byte(*answer.Load()))
-			}
-			_ = conn.Close()
-		}
-	}()
+	defer func() { _ = service.Close() }()
 	client := forwarder.New(forwarder.Settings{HeaderTimeout: time.Second})
 	defer func() { _ = client.Close() }()
 	for name, whole := range map[string]string{
@@ -45,7 +32,7 @@
 			text := whole[:cut]
 			answer.Store(&text)
 			call := forwarder.ServiceCall{Method: http.MethodPost, Path: "/", RequestID: "r"}
-			got, err := client.CallService(t.Context(), netip.MustParseAddrPort(listener.Addr().String()), call)
+			got, err := client.CallService(t.Context(), service.Address(), call)
 			if (err == nil) != (cut == len(whole)) {
 				t.Errorf("%s, cut after %q: status %d, body %q, %v", name, text[max(cut-20, 0):], got.Status, got.Body, err)
 			}
--- a/forwarder/early_test.go
+++ b/forwarder/early_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/forwarder"
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 const (
@@ -25,26 +25,12 @@
 // listenEarly starts a service that passes each connection on which the head of a request has arrived to answer, and closes it then.
 func listenEarly(t *testing.T, answer func(conn *net.TCPConn, request *http.Request)) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	service, err := listener.ListenRaw(answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if request, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err == nil {
-					answer(conn.(*net.TCPConn), request)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	t.Cleanup(func() { _ = service.Close() })
+	return service.Address()
 }
 
 func upload(t *testing.T, address netip.AddrPort, size int, idempotent bool) (forwarder.ServiceAnswer, error) {
@@ -89,12 +75,12 @@
 // (MIXED).
 func TestAnswerBeforeTheUploadHasNoProvenEnd(t *testing.T) {
 	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
 	address := listenEarly(t, func(conn *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(conn, unframedHead+part)
 		_ = conn.CloseWrite()
 		<-release
 	})
+	t.Cleanup(func() { close(release) })
 	if answer, err := upload(t, address, longUpload, false); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("%+v, %v", answer, err)
 	}
