--- a/marker/marker_test.go
+++ b/marker/marker_test.go
@@ -67,7 +67,7 @@
 		m.SetPeers(others)
 		m.Start(t.Context())
 		m.Reset([]storer.Item{{Key: key + "-other"}}, false)
-		s.markers = append(s.markers, m)
+		s.markers = append(s.markers, m) // No marker writes before Declare.
 	}
 	return func() int {
 		s.mu.Lock()
@@ -76,6 +76,20 @@
 	}
 }
 
+// state returns the number of writes and whether the store has the key.
+func (s *store) state() (writes int, present bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.present
+}
+
+// restore makes the store come back from a copy without the key.
+func (s *store) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.present, s.writes = false, 0
+}
+
 func (s *store) close() {
 	for _, m := range s.markers {
 		_ = m.Close()
@@ -89,15 +103,15 @@
 		marked := newMarkers(t, s, "a", "b", "c", "d")
 		defer s.close()
 		time.Sleep(time.Minute)
-		if s.writes != 0 {
+		if writes, _ := s.state(); writes != 0 {
 			t.Error("a fact that nobody declared was written")
 		}
 		for _, m := range s.markers {
 			m.Declare()
 		}
 		time.Sleep(time.Minute)
-		if s.writes != 1 || !s.present || marked() < len(s.markers) {
-			t.Errorf("%d writes, %d daemons know of it", s.writes, marked())
+		if writes, present := s.state(); writes != 1 || !present || marked() < len(s.markers) {
+			t.Errorf("%d writes, %d daemons know of it", writes, marked())
 		}
 	})
 }
@@ -112,14 +126,14 @@
 		s.markers[0].Declare()
 		s.markers[1].Declare()
 		time.Sleep(time.Minute)
-		if !s.present || s.writes > 8 {
-			t.Fatalf("after failures: %d writes, mark written: %t", s.writes, s.present)
+		if writes, present := s.state(); !present || writes > 8 {
+			t.Fatalf("after failures: %d writes, mark written: %t", writes, present)
 		}
-		s.present, s.writes = false, 0
+		s.restore()
 		s.markers[1].Reset(nil, true)
 		time.Sleep(time.Minute)
-		if !s.present || s.writes != 1 {
-			t.Errorf("after the store came back from a copy: %d writes, mark written: %t", s.writes, s.present)
+		if writes, present := s.state(); !present || writes != 1 {
+			t.Errorf("after the store came back from a copy: %d writes, mark written: %t", writes, present)
 		}
 	})
 }
