listener, runner, assembler: free addresses of tests lie below the ephemeral range

Cause: it took a port from the ephemeral range, closed it, and counted connections there; another process that listens on port zero may be given that port meanwhile. What the test demands is unchanged.

--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -5,19 +5,17 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/assembler"
 	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+	"github.com/rosemaryrill/rosemaryrill/listener"
 	"github.com/rosemaryrill/rosemaryrill/loader"
 )
 
@@ -148,31 +146,13 @@
 	return map[string]any{"name": name, "apiKeys": keys, "isolated": !slices.Contains(f.openAccounts, name)}
 }
 
-// portsTried counts the ports that freePort has tried. They lie below the ephemeral range, so that no
-// outgoing connection uses a port before the daemon listens on it.
-var portsTried atomic.Uint32
-
-const (
-	firstPort = 15_000
-	portCount = 15_000
-)
-
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	for range portCount {
-		port := firstPort + (uint32(os.Getpid())*101+portsTried.Add(1))%portCount
-		address := netip.AddrPortFrom(netip.MustParseAddrPort(loopback).Addr(), uint16(port))
-		l, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue // Another process uses the port.
-		}
-		if err := l.Close(); err != nil {
-			t.Fatal(err)
-		}
-		return address
+	address, err := listener.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return netip.AddrPort{}
+	return address
 }
 
 // settings returns the settings of the i-th daemon, with free ports.
--- a/runner/stop_test.go
+++ b/runner/stop_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/listener"
 	"github.com/rosemaryrill/rosemaryrill/loader"
 	"github.com/rosemaryrill/rosemaryrill/platformemulator"
 	"github.com/rosemaryrill/rosemaryrill/runner"
@@ -85,12 +86,11 @@
 // reserveAddress returns an address on which nothing listens.
 func reserveAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := listener.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return address
 }
 
 // countConnections connects to the address until ctx ends and returns how often that succeeded.
