cmd/rilld: free addresses of tests lie below the ephemeral range

Its log names the cause, the same as of TestFailedStartAcceptsNoCallers: a port from the ephemeral range, free when the test looked, was given to another user until the daemon listened. The tests use listener.FreeAddress now.

--- a/cmd/rilld/processes_test.go
+++ b/cmd/rilld/processes_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
 // startTimeout bounds the time until the port of a started process answers.
@@ -157,12 +158,11 @@
 // freeAddress returns a loopback address with an unused port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := listener.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address.String()
 }
 
 // jsonStrings returns the addresses as JSON strings, separated by commas, without the brackets of an array.
