platform, cataloger, relayer: quotas, event gaps and longer load headers are decoded

Cause: a load header with four figures was dropped whole, so no load of such engines was known from answers; rate, burst, unit and default tokens of accounts and the longest event gap of routes were decoded nowhere. Change: decodeLoad takes headers with three or more figures and reports the fourth as WorkPercent; Account.Quota; Route.MaxEventGap; the relayer acquires the cost of a request from Settings.Quotas before it chooses a target, refunds what no target ran, and refuses with 429 beyond the quota. No Quotas is wired yet, so nothing is refused. docs/design/hard-load.md has the requirements of the parts.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -61,6 +61,8 @@
 	// Resumable is set if a broken stream can be resumed at another target.
 	Resumable     bool
 	TrafficShares []TrafficShare
+	// MaxEventGap is the longest pause between two events with which a stream still meets its objective; zero if none is set.
+	MaxEventGap time.Duration
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -129,6 +131,44 @@
 	Priority *int
 	// Isolated is set if the account shares no KV cache entries with other accounts.
 	Isolated bool
+	// Quota bounds what the account's requests consume at all daemons together.
+	Quota Quota
+}
+
+// QuotaUnit is what a Quota counts.
+type QuotaUnit int
+
+// The units of quotas.
+const (
+	// UnitRequests counts each request as one.
+	UnitRequests QuotaUnit = iota
+	// UnitTokens counts the tokens of the prompt and the largest number of tokens of the answer.
+	UnitTokens
+)
+
+// Quota is a token bucket that all daemons share.
+type Quota struct {
+	// RatePerSecond refills the bucket; zero means that there is no quota.
+	RatePerSecond float64
+	// Burst is the capacity of the bucket.
+	Burst float64
+	Unit  QuotaUnit
+	// DefaultTokens is what a request without a token count counts if Unit is UnitTokens.
+	DefaultTokens int
+}
+
+// Limited reports whether there is a quota.
+func (q Quota) Limited() bool { return q.RatePerSecond > 0 }
+
+// Cost returns what a request counts. counted is false if its caller did not state the number of its tokens.
+func (q Quota) Cost(tokens int, counted bool) float64 {
+	switch {
+	case q.Unit == UnitRequests:
+		return 1
+	case !counted:
+		return float64(q.DefaultTokens)
+	}
+	return float64(tokens)
 }
 
 // Limits bound callers' requests and connections. Zero means that a limit is not set.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -159,8 +159,8 @@
 // recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, its rate
 // limit, the version of its weights, and whether it refused the request, asks for time, is leaving or is gone.
 func (r *relayedRequest) recordTargetState(choice placer.Choice, answer Answer) {
-	if answer.Requests >= 0 {
-		choice.Attempt.RecordRequestCount(answer.Requests)
+	if answer.Load.Reported {
+		choice.Attempt.RecordRequestCount(answer.Load.Requests())
 	}
 	r.rateLimit = answer.RateLimit
 	switch {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -262,7 +262,7 @@
 }
 
 func (h *harness) Answer(_ int, header http.Header) relayer.Answer {
-	return relayer.Answer{NotRun: header.Get("Not-Run") != "", Sealed: header.Get("Seal") != "", Requests: -1, RateLimit: -1, Brittle: -1}
+	return relayer.Answer{NotRun: header.Get("Not-Run") != "", Sealed: header.Get("Seal") != "", RateLimit: -1, Brittle: -1}
 }
 
 // truncatingReader replaces io.EOF by io.ErrUnexpectedEOF.
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -27,6 +27,8 @@
 	ReasonShed Reason = "shed"
 	// ReasonUnreachable: the daemon reaches no target, no other daemon took the request, and no target has run it.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonQuota: the quota of the request's account is used up.
+	ReasonQuota Reason = "quota"
 	// ReasonBusy: the daemon has too many requests that other daemons passed on to it.
 	ReasonBusy Reason = "busy"
 	// ReasonUnknownOrigin: the caller takes a stream up again, and it is not known which version of the targets' software began it.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -60,10 +60,27 @@
 type Prompt struct {
 	Model        string
 	PromptTokens int
-	OutputTokens int
-	Parts        []placer.Part
+	// OutputTokens is the expected length of the answer, and MaxOutputTokens the largest that the caller allows.
+	OutputTokens    int
+	MaxOutputTokens int
+	// TokensCounted is set if the caller stated the numbers of tokens.
+	TokensCounted bool
+	Parts         []placer.Part
 }
 
+// Load is what a target reports of its load.
+type Load struct {
+	// Reported is set if the target reports its load; the other fields have no meaning otherwise.
+	Reported bool
+	// Running and Waiting are the numbers of running and waiting requests, and Slots is the number that may run at once.
+	Running, Waiting, Slots int
+	// WorkPercent is how long work takes at the target at this moment, in percent of its usual time; zero if it does not report it.
+	WorkPercent int
+}
+
+// Requests returns the number of running and waiting requests.
+func (l Load) Requests() int { return l.Running + l.Waiting }
+
 // Attempt contains what the codec sends to a target in addition to the call.
 type Attempt struct {
 	Target placer.Target
@@ -99,8 +116,8 @@
 	OtherWeights bool
 	// Weights is the version of the weights that the target serves; zero if it reports none.
 	Weights int64
-	// Requests is the number of running and waiting requests at the target; negative if it reports none.
-	Requests int
+	// Load is the load of the target as it reports it.
+	Load Load
 	// RateLimit is the number of requests a second that the target takes from all daemons together; negative if it names
 	// none.
 	RateLimit float64
@@ -183,6 +200,8 @@
 	Memory *reserver.Budget
 	// Origins tells where streams may go on that callers take up again. Default: at any target.
 	Origins Origins
+	// Quotas bounds what the requests of accounts consume. Default: no bound.
+	Quotas Quotas
 	// Delegator passes calls on whose targets this daemon does not reach. Default: they are refused.
 	Delegator Delegator
 	Crashes   CrashAttributor
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -47,6 +47,10 @@
 	// cacheNamespace is the namespace of the cached parts, by the same configuration as account.
 	cacheNamespace string
 
+	// charged is the account whose quota was charged for an attempt that no target has run yet, and chargedCost by how much.
+	charged     *cataloger.Account
+	chargedCost float64
+
 	// attempts counts the attempts, and runs those that a target may have run.
 	attempts     int
 	runs         int
@@ -133,6 +137,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.ctx, r.deadline)
 	defer cancel()
+	defer r.refundQuota()
 	for {
 		ended, refusal := r.tryTarget(ctx)
 		if !ended && refusal == nil {
@@ -150,6 +155,9 @@
 // tryTarget sends the request to one target. It reports whether the request has ended: with an answer, or with the returned
 // refusal.
 func (r *relayedRequest) tryTarget(ctx context.Context) (ended bool, refusal *Refusal) {
+	if refusal := r.acquireQuota(ctx); refusal != nil {
+		return true, refusal
+	}
 	choice, refusal := r.choose()
 	if taken, delegatedRefusal := r.handOver(ctx, refusal); taken {
 		return true, delegatedRefusal
@@ -162,7 +170,11 @@
 	}
 	r.waitingSince = time.Time{}
 	endSpan := r.traceAttempt(ctx, choice)
+	runsBefore := r.runs
 	result, attempted := r.attempt(ctx, choice)
+	if r.runs > runsBefore {
+		r.spendQuota()
+	}
 	endSpan(result)
 	if result == answered {
 		return true, nil
