--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 	"github.com/rosemaryrill/rosemaryrill/listener"
 )
 
@@ -89,7 +90,7 @@
 		<-release
 	})
 	t.Cleanup(func() { close(release) })
-	if _, body, err := upload(t, address, longUpload); !errors.Is(err, connector.ErrEndedDuringUpload) || !errors.Is(err, io.ErrUnexpectedEOF) || body != part {
+	if _, body, err := upload(t, address, longUpload); !errors.Is(err, dialer.ErrEndedDuringUpload) || !errors.Is(err, io.ErrUnexpectedEOF) || body != part {
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
--- a/connector/upload.go
+++ b/connector/upload.go
@@ -2,24 +2,15 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
-	"time"
-)
-
-// ErrEndedDuringUpload is the cause if the end of the connection is the only sign of the end of a body, and came before the target had
-// the whole request. The target may have reset the connection in the middle of the body: the kernel reports that once, and the
-// write of the request may have been told.
-var ErrEndedDuringUpload = fmt.Errorf("the connection ended before the target had the whole request: %w", io.ErrUnexpectedEOF)
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
+	"github.com/rosemaryrill/rosemaryrill/dialer"
+)
 
 // upload is the writing of a request.
 type upload struct {
 	// result receives the result of the write.
 	result chan error
-	// failure is the result once ended has received it.
+	// failure is the result once end has received it.
 	failure  error
 	received bool
 }
@@ -29,7 +20,7 @@
 // end returns the result of the write. One that still waits for the target fails.
 func (u *upload) end(conn *connection) error {
 	if !u.received {
-		_ = conn.SetWriteDeadline(longAgo) // Fails only if the connection is closed, which ends the write too.
+		_ = conn.SetWriteDeadline(dialer.ExpiredDeadline) // Fails only if the connection is closed, which ends the write too.
 		u.failure, u.received = <-u.result, true
 	}
 	return u.failure
@@ -56,10 +47,10 @@
 		return nil
 	}
 	if err := r.upload.end(r.connection); err != nil {
-		return errors.Join(ErrEndedDuringUpload, err)
+		return errors.Join(dialer.ErrEndedDuringUpload, err)
 	}
-	if state, err := r.connection.sendState(); err == nil && state.Outstanding {
-		return ErrEndedDuringUpload
+	if !dialer.Acknowledged(r.connection.Conn) {
+		return dialer.ErrEndedDuringUpload
 	}
 	return nil
 }
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 )
 
 // connectionState is what a connection is used for.
@@ -30,9 +32,6 @@
 	stateEnding
 )
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
 // connection is a connection of a tracked server. Only the goroutine that reads from it ends it between requests.
 type connection struct {
 	net.Conn
@@ -197,7 +196,7 @@
 func (c *connection) end() {
 	if !c.ending {
 		c.ending = true
-		_ = c.Conn.SetReadDeadline(longAgo)
+		_ = c.Conn.SetReadDeadline(dialer.ExpiredDeadline)
 	}
 }
 
@@ -264,6 +263,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == stateServing && !c.multiplexed {
-		_ = c.Conn.SetReadDeadline(longAgo)
+		_ = c.Conn.SetReadDeadline(dialer.ExpiredDeadline)
 	}
 }
--- a/forwarder/upload.go
+++ b/forwarder/upload.go
@@ -2,22 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/dialer"
 )
 
-// errEndedDuringUpload is the cause if the end of the connection is the only sign of the end of a body, and came before the target had
-// the whole request. The target may have reset the connection in the middle of the body: the kernel reports that once, and the
-// write of the request may have been told.
-var errEndedDuringUpload = fmt.Errorf("the connection ended before the target had the whole request: %w", io.ErrUnexpectedEOF)
-
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
 // headEnd is the end of the head of a request.
 const headEnd = "\r\n\r\n"
 
@@ -60,14 +50,10 @@
 // uploaded reports whether the target had the whole request. A write that still waits for the target fails; one that is through has
 // succeeded. A target that has read the whole request has acknowledged all of it before it ends the connection.
 func (c *trackedConn) uploaded() bool {
-	_ = c.SetWriteDeadline(longAgo) // Fails only if the connection is closed, which ends the write too.
+	_ = c.SetWriteDeadline(dialer.ExpiredDeadline) // Fails only if the connection is closed, which ends the write too.
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if !c.upload.complete() {
-		return false
-	}
-	info, err := dialer.TCPInfo(c.socket)
-	return err != nil || !dialer.Outstanding(info) // It is not known of a connection that the transport has closed already.
+	return c.upload.complete() && dialer.Acknowledged(c.socket)
 }
 
 // endsWithConnection reports whether the end of the connection is the only sign of the end of a response's body.
@@ -85,7 +71,7 @@
 func (u *unframedBody) Read(p []byte) (n int, err error) {
 	n, err = u.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !u.conn.uploaded() {
-		return n, errEndedDuringUpload
+		return n, dialer.ErrEndedDuringUpload
 	}
 	return n, err
 }
