placer, assembler: several cache stores, each the home of its part of the prompts

Each daemon used an arbitrary one of several stores at each version of the configuration (map order), so daemons saved and searched in different ones. Now all agree by weighted rendezvous hashing of the prompt's first part, poll and tell each store, and pass over one that is down. One store is used as before, with the hash 1.

--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
-	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/poller"
@@ -30,23 +28,23 @@
 	maxWarmUpPeers = 10
 )
 
-// cachePolling polls the cache events of engines and of the cache store, which stores cached prompt parts
-// for engines. Each engine and the cache store are polled by one daemon, which sends the changes to the other
+// cachePolling polls the cache events of engines and of the cache stores, which store cached prompt parts
+// for engines. Each engine and each cache store is polled by one daemon, which sends the changes to the other
 // daemons. See isAssigned for which daemon that is.
 type cachePolling struct {
 	poller *poller.Poller[placer.CacheEvents]
 
-	mu                   sync.Mutex
-	engines              []placer.Target
-	cacheStoreAddress    netip.AddrPort
-	cacheStoreDataCentre string
-	peers                []tracker.Peer
+	mu      sync.Mutex
+	engines []placer.Target
+	stores  []placer.CacheStore
+	peers   []tracker.Peer
 }
 
 func (d *Daemon) newPoller() *poller.Poller[placer.CacheEvents] {
 	return poller.New(poller.Settings[placer.CacheEvents]{
 		Engines: d.engineClient(), Observer: d.view.placer, Assigned: d.isAssigned,
 		EventWait: eventsPollTimeout, EventInterval: eventsPollInterval, Logger: d.loggerFor("poller"),
+		OnPoll: d.view.placer.ObserveStorePoll,
 	})
 }
 
@@ -69,17 +67,14 @@
 	d.cachePolling.updateTargets()
 }
 
-func (c *cachePolling) setCacheStore(catalog *cataloger.Catalog) {
+func (c *cachePolling) setStores(stores []placer.CacheStore) {
 	c.mu.Lock()
-	c.cacheStoreAddress, c.cacheStoreDataCentre = netip.AddrPort{}, ""
-	if store, found := catalog.CacheStore(); found {
-		c.cacheStoreAddress, c.cacheStoreDataCentre = store.Address, store.DataCentre
-	}
+	c.stores = stores
 	c.mu.Unlock()
 	c.updateTargets()
 }
 
-// updateTargets sets the poller's targets to the engines and the cache store.
+// updateTargets sets the poller's targets to the engines and the cache stores.
 func (c *cachePolling) updateTargets() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -87,8 +82,8 @@
 	for _, engine := range c.engines {
 		polled = append(polled, poller.Target{Name: engine.ID, Address: engine.Address})
 	}
-	if c.cacheStoreAddress.IsValid() {
-		polled = append(polled, poller.Target{Name: placer.CacheStoreName, Address: c.cacheStoreAddress})
+	for _, store := range c.stores {
+		polled = append(polled, poller.Target{Name: store.Name, Address: store.Address})
 	}
 	c.poller.SetTargets(polled)
 }
@@ -120,7 +115,7 @@
 
 // isAssigned reports whether this daemon polls the named engine or cache store. The first daemon by ranker.Position
 // among those in the data centre of the engine or cache store polls it. If that data centre has no daemon, the first
-// one of all data centres does. While a daemon warms up, it polls all engines and the cache store, see warmUpDuration
+// one of all data centres does. While a daemon warms up, it polls all engines and cache stores, see warmUpDuration
 // and maxWarmUpPeers.
 func (d *Daemon) isAssigned(name string) bool {
 	c := &d.cachePolling
@@ -153,7 +148,12 @@
 			return engine.DataCentre
 		}
 	}
-	return c.cacheStoreDataCentre
+	for _, store := range c.stores {
+		if store.Name == name {
+			return store.DataCentre
+		}
+	}
+	return ""
 }
 
 // peersIn returns the peers in the data centre.
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -49,6 +49,8 @@
 		{"rill_contact_age_ms", "Milliseconds since the configuration was known to be the newest.", func() int64 { return v.ContactAge().Milliseconds() }},
 		{"rill_targets", "Targets that are not leaving.", func() int64 { return int64(len(v.placer.Targets())) }},
 		{"rill_unreachable_targets", "Targets to which this daemon cannot open connections.", func() int64 { return int64(v.placer.UnreachableCount()) }},
+		{"rill_cache_stores", "Stores of cached prompt parts that are configured.", func() int64 { return int64(v.placer.StoreCounts().Configured) }},
+		{"rill_cache_stores_down", "Stores of cached prompt parts that are known to be down; always 0 if only one is configured.", func() int64 { return int64(v.placer.StoreCounts().Down) }},
 		{"rill_peers", "Other daemons that are registered, or that were heard of lately if these are more.", func() int64 { return int64(d.broadcaster.PeerCount()) }},
 		{"rill_open_requests", "Requests that are open.", func() int64 { return int64(d.edge.drainer.OpenRequests()) }},
 		{"rill_panics", "Panics of background tasks since the start.", supervisor.Panics},
--- a/assembler/translation.go
+++ b/assembler/translation.go
@@ -36,14 +36,18 @@
 	return capacities
 }
 
-// cacheStore returns the address and the capacity of the cache store, for the placer.
-func cacheStore(catalog *cataloger.Catalog) placer.CacheStore {
-	store, found := catalog.CacheStore()
-	if !found {
-		return placer.CacheStore{}
-	}
-	return placer.CacheStore{
-		Address: store.Address, DataCentre: store.DataCentre,
-		CacheTokens: store.CacheTokens, LinkBitsPerSecond: store.LinkBitsPerSecond,
+// cacheStores returns the names, addresses and capacities of the cache stores, for the placer and the poller.
+func cacheStores(catalog *cataloger.Catalog) (stores []placer.CacheStore) {
+	declared := catalog.CacheStores()
+	for _, service := range declared {
+		name := placer.CacheStoreName
+		if len(declared) > 1 {
+			name += "/" + service.Name
+		}
+		stores = append(stores, placer.CacheStore{
+			Name: name, Address: service.Cache.Address, DataCentre: service.Cache.DataCentre,
+			CacheTokens: service.Cache.CacheTokens, LinkBitsPerSecond: service.Cache.LinkBitsPerSecond,
+		})
 	}
+	return stores
 }
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -82,8 +82,9 @@
 		Decode: decodeDeclaration,
 		OnCatalog: func(catalog *cataloger.Catalog) {
 			v.placer.SetEngines(engineCapacities(catalog))
-			v.placer.SetCacheStore(cacheStore(catalog))
-			d.cachePolling.setCacheStore(catalog)
+			stores := cacheStores(catalog)
+			v.placer.SetCacheStores(stores)
+			d.cachePolling.setStores(stores)
 			if catalog.ListsAccounts() {
 				d.accounts.Declare()
 			}
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -284,14 +284,15 @@
 	return service, found
 }
 
-// CacheStore returns a store of KV cache entries, if one is declared. If several are declared, it returns an arbitrary one.
-func (c *Catalog) CacheStore() (store *CacheStore, found bool) {
+// CacheStores returns the services that are stores of KV cache entries, ordered by name.
+func (c *Catalog) CacheStores() (stores []*Service) {
 	for _, service := range c.services {
 		if service.Cache != nil {
-			return service.Cache, true
+			stores = append(stores, service)
 		}
 	}
-	return nil, false
+	slices.SortFunc(stores, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	return stores
 }
 
 // Services returns all services in no particular order.
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -73,3 +73,17 @@
 		}
 	})
 }
+
+// Guards against daemons that use different stores, since the order of a map differs between them.
+func TestCacheStoresAreOrderedByName(t *testing.T) {
+	catalog := cataloger.New(1, cataloger.Declarations{Services: []cataloger.Service{
+		{Name: "store-b", Cache: &cataloger.CacheStore{}}, {Name: "engines"}, {Name: "store-c", Cache: &cataloger.CacheStore{}}, {Name: "store-a", Cache: &cataloger.CacheStore{}},
+	}})
+	names := ""
+	for _, store := range catalog.CacheStores() {
+		names += store.Name + " "
+	}
+	if names != "store-a store-b store-c " {
+		t.Errorf("cache stores %s", names)
+	}
+}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -43,7 +43,7 @@
 }
 
 // recordPlacement records the parts that the target will hold after the call, and the call's transfers from and to
-// the store. It returns the parts that the target was not known to hold before.
+// the stores. It returns the parts that the target was not known to hold before.
 func (p *Placer) recordPlacement(t *target, call Call, best candidate, now time.Time) (added []partKey) {
 	keys := call.sharedPartKeys(best.version)
 	capacity := p.cacheCapacity(t)
@@ -62,16 +62,16 @@
 	return added
 }
 
-// recordStoreTransfers records the parts that the call fetches from the store or saves there.
+// recordStoreTransfers records the parts that the call fetches from a store or saves in one.
 func (p *Placer) recordStoreTransfers(t *target, call Call, best candidate, keys []partKey, now time.Time) {
-	if best.fetchFromStore {
-		p.store.recordFetch(p.store.transferTime(p.engines[call.Service], best.fetchedTokens, t.DataCentre), now)
+	if from := best.fetchStore; from != nil {
+		from.recordFetch(from.transferTime(p.engines[call.Service], best.fetchedTokens, t.DataCentre), now)
 		for _, key := range keys {
-			p.store.cached.put(key, p.store.cached.heldTokens(key), p.store.CacheTokens)
+			from.cached.put(key, from.cached.heldTokens(key), from.CacheTokens)
 		}
 	}
-	if best.saveToStore {
-		p.store.recordSaves(keys, now)
+	if best.saveStore != nil {
+		best.saveStore.recordSaves(keys, now)
 	}
 }
 
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -58,17 +58,17 @@
 	prefillTokens int
 	fetchedTokens int
 	fetchFrom     netip.AddrPort
-	// fetchFromStore is set if the parts are fetched from the store of cached parts, and saveToStore if the target
-	// should send the shared parts there.
-	fetchFromStore bool
-	saveToStore    bool
+	// fetchStore is the store of cached parts from which parts are fetched, and saveStore the one to which the target
+	// should send the shared parts; nil if there is none.
+	fetchStore *partStore
+	saveStore  *partStore
 }
 
-func (c candidate) saveAddress(p *Placer) netip.AddrPort {
-	if !c.saveToStore {
+func (c candidate) saveAddress() netip.AddrPort {
+	if c.saveStore == nil {
 		return netip.AddrPort{}
 	}
-	return p.store.Address
+	return c.saveStore.Address
 }
 
 // Choose returns the target with the lowest cost among those whose ids are not excluded and that are not at their limits.
@@ -103,7 +103,7 @@
 		Target:              best.target.snapshot(),
 		Version:             best.version,
 		FetchFrom:           best.fetchFrom,
-		SaveTo:              best.saveAddress(p),
+		SaveTo:              best.saveAddress(),
 		Expected:            best.expected,
 		PrefillTokens:       best.prefillTokens,
 		QueuedPrefillTokens: best.target.combinedWork().pendingPrefill.ahead(call.Urgency),
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -61,13 +61,15 @@
 	c.prefillTokens = call.PromptTokens - cached
 	source := index.bestSource(t, holders, cached)
 	if source.tokens > 0 {
-		c.fetchedTokens, c.fetchFrom, c.fetchFromStore = source.tokens, source.address, source.fromStore
+		c.fetchedTokens, c.fetchFrom, c.fetchStore = source.tokens, source.address, source.store
 		c.prefillTokens -= source.tokens
 	}
 	if duplicated := holders.maxTokens - cached - source.tokens; duplicated > 0 {
 		c.cost += time.Duration(duplicatePrefillWeight * float64(p.rates[call.Service].prefillTime(duplicated)))
 	}
-	c.saveToStore = !c.fetchFromStore && p.shouldSave(call, holders.keys, index.now)
+	if c.fetchStore == nil {
+		c.saveStore = holders.saveStore
+	}
 	c.expected += source.duration + p.rates[call.Service].prefillTime(load.pendingPrefill.ahead(call.Urgency)+c.prefillTokens+overheadTokens(call))
 	if engine.CacheTokens > 0 && load.kvCacheTokens+call.unsharedTokens() > int(preemptionFraction*float64(engine.CacheTokens)) {
 		c.expected += preemptionPenalty
--- a/placer/events.go
+++ b/placer/events.go
@@ -8,7 +8,7 @@
 	Tokens int
 }
 
-// CacheEvents contains the events of the cache of a target, or of the cache store, after a position in its event log.
+// CacheEvents contains the events of the cache of a target, or of a cache store, after a position in its event log.
 type CacheEvents struct {
 	// Incarnation identifies the incarnation of the target or cache store that reported the events.
 	Incarnation string
@@ -28,18 +28,17 @@
 // Count returns the number of events.
 func (c CacheEvents) Count() int { return c.EventCount }
 
-// CacheStoreName is passed to ObserveCache instead of a target's ID to identify the cache store.
-const CacheStoreName = "store"
-
-// ObserveCache records cache events of the target with the id or, for CacheStoreName, of the cache store. It announces to the
+// ObserveCache records cache events of the target with the id or of the cache store with the name. It announces to the
 // peers those that change how many tokens of a part can be fetched.
 func (p *Placer) ObserveCache(name string, events CacheEvents) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	holderHash := storeHash
+	var holderHash TargetHash
 	if t := p.targets[name]; t != nil {
 		holderHash = t.hash
-	} else if name != CacheStoreName {
+	} else if s := p.stores.named(name); s != nil {
+		holderHash = s.hash
+	} else {
 		return
 	}
 	cached, capacity := p.cacheOf(holderHash)
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -28,12 +27,13 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// fetchSource is a target or the store from which another target can fetch cached tokens that it lacks.
+// fetchSource is a target or a store from which another target can fetch cached tokens that it lacks.
 type fetchSource struct {
-	address   netip.AddrPort
-	tokens    int
-	duration  time.Duration
-	fromStore bool
+	address  netip.AddrPort
+	tokens   int
+	duration time.Duration
+	// store is nil if the source is a target.
+	store *partStore
 }
 
 // promptHolders are the targets that hold parts of the prompt of one call under one version of the weights.
@@ -46,6 +46,10 @@
 	// maxTokens is the largest number of tokens that a target holds, or will hold after the prefill of the requests
 	// sent to it.
 	maxTokens int
+	// stored are the stores that can be used now, and the tokens that each holds; saveStore is the one to which the parts
+	// should be sent, or nil.
+	stored    []storeHolder
+	saveStore *partStore
 }
 
 type holder struct {
@@ -82,6 +86,7 @@
 			found.add(holder{target: t, tokens: tokens})
 		}
 	}
+	x.addStores(found)
 	return found
 }
 
@@ -92,7 +97,7 @@
 }
 
 // bestSource returns the source from which the target can fetch the most tokens under the same weights: another target,
-// or the store if it holds more and a fetch is faster than prefill. The target itself holds cached tokens of the prompt; a
+// or a store if it holds more and a fetch is faster than prefill. The target itself holds cached tokens of the prompt; a
 // source must hold at least minFetchTokens more. The result is zero if none does.
 func (x *holderIndex) bestSource(t *target, holders *promptHolders, cached int) (best fetchSource) {
 	engine := x.placer.engines[x.call.Service]
@@ -105,31 +110,12 @@
 			break
 		}
 	}
-	if extra := x.call.cachedTokens(x.placer.store.cached, holders.keys) - cached; extra >= minFetchTokens && extra > best.tokens {
-		if duration := x.storeFetchTime(t, extra); duration < x.placer.rates[x.call.Service].prefillTime(extra) {
-			best = fetchSource{address: x.placer.store.Address, tokens: extra, duration: duration, fromStore: true}
-		}
+	if stored, found := x.bestStore(t, holders, cached+best.tokens, cached); found {
+		best = stored
 	}
 	return best
 }
 
-// storeFetchTime returns the time that the target takes to fetch the tokens from the store.
-func (x *holderIndex) storeFetchTime(t *target, tokens int) time.Duration {
-	store := x.placer.store
-	if !store.usable() {
-		return math.MaxInt64
-	}
-	transfer := store.transferTime(x.placer.engines[x.call.Service], tokens, t.DataCentre)
-	return fetchOverhead + store.fetchTime(transfer, x.placer.daemonCount(), x.now)
-}
-
-// shouldSave reports whether the target should send the shared parts to the store.
-func (p *Placer) shouldSave(call Call, keys []partKey, now time.Time) bool {
-	shared := call.sharedTokens()
-	return shared >= minAnnouncedTokens && p.store.usable() && call.cachedTokens(p.store.cached, keys) < shared &&
-		!p.store.savePending(keys, now)
-}
-
 // sharedPartKeys returns the keys of the shared parts of the prompt under a version of the weights.
 func (c Call) sharedPartKeys(version int64) []partKey {
 	if len(c.Parts) < 2 {
--- a/placer/parts.go
+++ b/placer/parts.go
@@ -8,7 +8,7 @@
 // partKey identifies a part of a prompt for one model, cache namespace and version of the weights.
 type partKey uint64
 
-// partCache models the parts that a target or the store is expected to hold. The least recently used parts are evicted first.
+// partCache models the parts that a target or a store is expected to hold. The least recently used parts are evicted first.
 type partCache struct {
 	tokens  int
 	order   *list.List
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -167,6 +167,9 @@
 		p.addWanted(announced.Model, wantedVersion{version: announced.Version, since: now.Add(-announced.Age)})
 	}
 	for _, holding := range update.Holdings {
+		if p.importStoreState(holding, now) {
+			continue
+		}
 		if cached, capacity := p.cacheOf(holding.Target); cached != nil {
 			cached.add(partKey(holding.Key), holding.Tokens, capacity, now.Add(p.prefillBacklog(holding.Target)))
 		}
@@ -222,10 +225,10 @@
 	p.peerNames = slices.Clone(names)
 }
 
-// cacheOf returns the parts that a target or the store holds, and its capacity in tokens.
+// cacheOf returns the parts that a target or a store holds, and its capacity in tokens.
 func (p *Placer) cacheOf(holder TargetHash) (cached *partCache, capacity int) {
-	if holder == storeHash {
-		return p.store.cached, p.store.CacheTokens
+	if s := p.stores.byHash(holder); s != nil {
+		return s.cached, s.CacheTokens
 	}
 	if t := p.byHash[holder]; t != nil {
 		return t.cached, p.cacheCapacity(t)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -208,7 +208,7 @@
 	// departures are the incarnations that said that they are leaving.
 	departures map[TargetHash]*departure
 	rates      map[string]*prefillEstimator // by service
-	store      *partStore
+	stores     storeSet
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
@@ -239,7 +239,6 @@
 		brittle:          make(map[string]brittleness),
 		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
-		store:            newPartStore(CacheStore{}),
 		unsharedPartSeed: settings.Seed,
 	}
 }
--- a/placer/store.go
+++ b/placer/store.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// CacheStore describes the store of cached parts.
+// CacheStoreName names the cache store of a deployment that has only one. The names of several begin with it.
+const CacheStoreName = "store"
+
+// CacheStore describes a store of cached parts.
 type CacheStore struct {
+	// Name identifies the store in ObserveCache and ObserveStorePoll, and is the same at all daemons.
+	Name       string
 	Address    netip.AddrPort
 	DataCentre string
 	// CacheTokens is the capacity in tokens.
@@ -15,10 +20,12 @@
 	LinkBitsPerSecond float64
 }
 
-// partStore is the state of the store as this daemon knows it.
+// partStore is the state of a store as this daemon knows it.
 type partStore struct {
 	CacheStore
+	hash   TargetHash
 	cached *partCache
+	health storeHealth
 	// linkTime is the exponentially decayed time for which fetches that this daemon requested kept the store's link
 	// busy. linkTimeAt is the time of the last such fetch, up to which linkTime is decayed.
 	linkTime   time.Duration
@@ -31,18 +38,6 @@
 	return &partStore{CacheStore: described, cached: newPartCache(), pendingSaves: make(map[partKey]time.Time)}
 }
 
-// SetCacheStore sets the store of cached parts; a zero address means that there is none.
-func (p *Placer) SetCacheStore(described CacheStore) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if described.Address != p.store.Address {
-		p.store = newPartStore(described)
-	}
-	p.store.CacheStore = described
-}
-
-func (s *partStore) usable() bool { return s.Address.IsValid() && s.LinkBitsPerSecond > 0 }
-
 // transferTime returns the time in which the store's link transfers tokens from or to an engine in the data centre.
 func (s *partStore) transferTime(engine Engine, tokens int, dataCentre string) time.Duration {
 	engine.LinkBitsPerSecond = s.LinkBitsPerSecond
@@ -94,6 +89,3 @@
 func (s *partStore) savePending(keys []partKey, now time.Time) bool {
 	return now.Before(s.pendingSaves[keys[len(keys)-1]])
 }
-
-// storeHash identifies the store in the messages between daemons.
-const storeHash TargetHash = 1
--- a/placer/store_test.go
+++ b/placer/store_test.go
@@ -16,7 +16,7 @@
 
 // addStore adds a store of cached parts, which transfers the shared part of a longCall in 46 ms, and peers.
 func (f *fixture) addStore(peers int) {
-	f.placer.SetCacheStore(placer.CacheStore{Address: storeAddress, DataCentre: "north", CacheTokens: 4_000_000, LinkBitsPerSecond: 42e9})
+	f.placer.SetCacheStores([]placer.CacheStore{{Name: placer.CacheStoreName, Address: storeAddress, DataCentre: "north", CacheTokens: 4_000_000, LinkBitsPerSecond: 42e9}})
 	f.importFromPeers(peers)
 }
 
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -69,6 +69,8 @@
 	// EventInterval is the pause between two polls of an engine, with ±20 % jitter; 500 ms by
 	// default. It doubles up to 5 s while an engine fails or has no events.
 	EventInterval time.Duration
+	// OnPoll is called after each poll, before Observer, with the events or the error. It is optional.
+	OnPoll func(target string, events E, err error)
 	// Logger logs panics of a poll loop, which goes on after them. Default: no log.
 	Logger *slog.Logger
 }
@@ -83,6 +85,9 @@
 	if s.Logger == nil {
 		s.Logger = slog.New(slog.DiscardHandler)
 	}
+	if s.OnPoll == nil {
+		s.OnPoll = func(string, E, error) {}
+	}
 	if s.Assigned == nil {
 		s.Assigned = func(string) bool { return true }
 	}
@@ -157,6 +162,9 @@
 	for ctx.Err() == nil {
 		if p.settings.Assigned(target.Name) {
 			events, err := p.settings.Engines.CacheEvents(ctx, target.Address, pollCursor.after, p.settings.EventWait)
+			if ctx.Err() == nil {
+				p.settings.OnPoll(target.Name, events, err)
+			}
 			backoff = p.nextBackoff(backoff, eventCount(events, err), err)
 			if err == nil && pollCursor.advance(events.IncarnationID(), events.NextPosition()) && events.Count() > 0 {
 				p.settings.Observer.ObserveCache(target.Name, events)
--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -117,3 +117,33 @@
 		}
 	})
 }
+
+// Guards against a store whose failures go unnoticed, since an observer gets only events.
+func TestOutcomesOfPollsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engine{err: errors.New("refused")}
+		var mu sync.Mutex
+		failed, succeeded := 0, 0
+		p := poller.New(poller.Settings[forwarder.CacheEvents]{
+			Engines: e, Observer: &recorder{},
+			OnPoll: func(target string, events forwarder.CacheEvents, err error) {
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					failed++
+				case target == "store" && events.Incarnation == "1":
+					succeeded++
+				}
+			},
+		})
+		p.SetTargets([]poller.Target{{Name: "store"}})
+		time.Sleep(10 * time.Second)
+		e.set(nil, nil)
+		time.Sleep(10 * time.Second)
+		_ = p.Close()
+		if failed < 2 || succeeded < 1 {
+			t.Errorf("%d failed and %d successful polls were told", failed, succeeded)
+		}
+	})
+}
