--- a/assembler/fleet_test.go
+++ b/assembler/fleet_test.go
@@ -38,6 +38,8 @@
 	version  int64
 	// openAccounts are the names of the accounts that are not isolated.
 	openAccounts []string
+	// cacheStores are the addresses of the cache stores in the configuration.
+	cacheStores []netip.AddrPort
 	// routeTimeout is the timeout of all routes.
 	routeTimeout time.Duration
 	client       *http.Client
@@ -128,12 +130,15 @@
 	for _, name := range extraRoutes {
 		routes = append(routes, route(name, "idempotent", "services", false))
 	}
+	services := []any{
+		map[string]any{"name": "engines", "maxConnections": 50, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": model}}}},
+		map[string]any{"name": "services", "maxConnections": 50},
+	}
+	for i, address := range f.cacheStores {
+		services = append(services, map[string]any{"name": fmt.Sprint("cache-", i), "kvStoreAddr": address.String(), "zone": "north", "kvCapacity": 4_000_000, "linkMbps": 38000})
+	}
 	document := map[string]any{
-		"version": f.version, "routes": routes,
-		"services": []any{
-			map[string]any{"name": "engines", "maxConnections": 50, "engine": map[string]any{"slots": 8, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": model}}}},
-			map[string]any{"name": "services", "maxConnections": 50},
-		},
+		"version": f.version, "routes": routes, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	if accounts != nil {
