--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -77,6 +77,9 @@
 	for range outcome.Attempts {
 		metrics.CountAttempt("sent")
 	}
+	if outcome.SharedRead > 0 && outcome.Attempts > 0 {
+		metrics.CountSharedRead(string(outcome.ReadCause), outcome.SharedRead)
+	}
 	if outcome.Result == relayer.ResultAnswered {
 		prompt := outcome.Prompt
 		// OutputTokens is the answer length that the caller expects or allows, not the actual one.
--- a/observer/metrics.go
+++ b/observer/metrics.go
@@ -29,6 +29,7 @@
 	tokens       metric.Int64Counter
 	cachedTokens metric.Int64Counter
 	promptTokens metric.Int64Counter
+	sharedReads  metric.Int64Counter
 	firstToken   metric.Float64Histogram
 	decision     metric.Float64Histogram
 	active       metric.Int64UpDownCounter
@@ -57,6 +58,7 @@
 		tokens:       counter("rill_tokens", "Generated tokens that were delivered."),
 		cachedTokens: counter("rill_cached_tokens", "Prompt tokens that engines took from their cache."),
 		promptTokens: counter("rill_prompt_tokens", "Prompt tokens of all requests."),
+		sharedReads:  counter("rill_shared_tokens_read", "Tokens of shared prompt parts that targets were expected to read, by cause."),
 		controlBytes: counter("rill_control_bytes", "Bytes between daemons by direction."),
 		wireBytes:    counter("rill_wire_bytes", "Bytes of the daemon's own connections, headers included, by peer and direction."),
 		firstToken: histogram("rill_first_token", "Time from the request to the first token.",
@@ -103,6 +105,11 @@
 	m.firstToken.Record(context.Background(), firstToken.Seconds(), attributes)
 }
 
+// CountSharedRead counts tokens of shared prompt parts that a target was expected to read, by the cause.
+func (m *Metrics) CountSharedRead(cause string, tokens int) {
+	m.sharedReads.Add(context.Background(), int64(tokens), metric.WithAttributes(attribute.String("cause", cause)))
+}
+
 // RecordDecision records the duration of a routing decision.
 func (m *Metrics) RecordDecision(took time.Duration) {
 	m.decision.Record(context.Background(), took.Seconds())
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -99,7 +99,9 @@
 	if limit := p.effectiveLimit(call, best); limit > 0 && best.expected > limit {
 		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Limit: limit}
 	}
+	sharedRead, cause := p.sharedRead(best, p.newHolderIndex(call, now))
 	return Choice{
+		SharedRead: sharedRead, ReadCause: cause,
 		Target:              best.target.snapshot(),
 		Version:             best.version,
 		FetchFrom:           best.fetchFrom,
--- a/placer/events.go
+++ b/placer/events.go
@@ -52,6 +52,7 @@
 			continue
 		}
 		cached.put(key, tokens, capacity)
+		p.noteHeld(key, tokens)
 		cached.setAvailableAt(key, time.Time{})
 		// A part that no daemon has announced before belongs to one call.
 		if before != tokens && (before > 0 || p.announcesUnshared()) {
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -172,6 +172,7 @@
 		}
 		if cached, capacity := p.cacheOf(holding.Target); cached != nil {
 			cached.add(partKey(holding.Key), holding.Tokens, capacity, now.Add(p.prefillBacklog(holding.Target)))
+			p.noteHeld(partKey(holding.Key), holding.Tokens)
 		}
 	}
 	for other, known := range p.peers {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -93,6 +93,10 @@
 	// number of prompt tokens of other requests whose prefill is expected to come first.
 	PrefillTokens       int
 	QueuedPrefillTokens int
+	// SharedRead is the number of tokens of shared parts among PrefillTokens, and ReadCause why they have to be read; it is
+	// empty if there are none.
+	SharedRead int
+	ReadCause  ReadCause
 	// Requests is the number of running and waiting requests that the target is expected to have.
 	Requests int
 	// Attempt records the outcome at the target. The caller must call its Finish method.
@@ -209,6 +213,7 @@
 	departures map[TargetHash]*departure
 	rates      map[string]*prefillEstimator // by service
 	stores     storeSet
+	seen       seenParts
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -238,7 +238,10 @@
 	Total            time.Duration
 	// PrefillTokens is the number of prompt tokens that the target was expected to prefill.
 	PrefillTokens int
-	Prompt        Prompt
+	// SharedRead is the number of tokens of shared parts among them, and ReadCause why the target had to read them.
+	SharedRead int
+	ReadCause  placer.ReadCause
+	Prompt     Prompt
 }
 
 // Relayer forwards requests to targets. Its methods are safe for concurrent use.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -341,7 +341,7 @@
 	total := time.Since(r.call.ArrivedAt)
 	outcome := Outcome{
 		Result: r.result, NotRun: r.runs == 0, Attempts: r.attempts, TimeToFirstEvent: r.timeToFirstEvent, Total: total,
-		PrefillTokens: r.choice.PrefillTokens, Prompt: r.call.Prompt,
+		PrefillTokens: r.choice.PrefillTokens, SharedRead: r.choice.SharedRead, ReadCause: r.choice.ReadCause, Prompt: r.call.Prompt,
 	}
 	var version int64
 	if catalog := r.relayer.settings.Configuration.Catalog(); catalog != nil {
@@ -358,7 +358,7 @@
 		"id", r.call.ID, "result", r.result, "status", r.status, "route", route, "service", r.service,
 		"target", r.target, "software", r.choice.Target.Software, "weights", r.version, "expected_ms", r.choice.Expected.Milliseconds(),
 		"read", r.choice.PrefillTokens, "ahead", r.choice.QueuedPrefillTokens, "in_hand", r.choice.Requests,
-		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.sharedTokensToRead(), "wall", r.cacheNamespace, "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
+		"prompt", lastSharedPart(r.call.Prompt), "shared_read", r.choice.SharedRead, "shared_read_cause", r.choice.ReadCause, "wall", r.cacheNamespace, "fetch_from", addressText(r.choice.FetchFrom), "save", r.choice.SaveTo.IsValid(), "sends", r.attempts, "runs", r.runs,
 		"first_ms", r.timeToFirstEvent.Milliseconds(), "total_ms", total.Milliseconds(),
 		"configuration", version, "contact_age_ms", r.relayer.settings.Configuration.ContactAge().Milliseconds(),
 		"rate_limit", r.rateLimit, "passed_to", r.delegatedTo, "passed_on", r.call.Delegated, "crashing", r.crashingName(), "cause", errorText(r.cause))
@@ -373,14 +373,6 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
-// sharedTokensToRead returns how many tokens of the shared parts the target was expected to read.
-func (r *relayedRequest) sharedTokensToRead() int {
-	if len(r.call.Prompt.Parts) < 2 {
-		return 0
-	}
-	return max(r.choice.PrefillTokens-r.call.Prompt.Parts[len(r.call.Prompt.Parts)-1].Tokens, 0)
-}
-
 func addressText(address netip.AddrPort) string {
 	if !address.IsValid() {
 		return ""
