broadcaster, placer, assembler: a daemon that starts asks others what targets and stores hold

It knew only what was announced after its start, so the prompts that others had placed were read again.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -166,7 +166,7 @@
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre,
-		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Origins: d.origins, Logger: d.loggerFor("broadcaster"),
+		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Origins: d.origins, Snapshot: d.view.placer.Snapshot, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
@@ -187,6 +187,7 @@
 	for _, f := range d.view.followers {
 		f.Start(ctx)
 	}
+	d.catchUp.tasks.Go(func() { d.learnHoldings(ctx) })
 	d.origins.start(ctx)
 	d.accounts.Start(ctx)
 	d.delegation.prober.Start(ctx)
--- a/assembler/caches_test.go
+++ b/assembler/caches_test.go
@@ -34,3 +34,25 @@
 		return strings.Contains(log, `"msg":"state of cache store changed"`) && strings.Contains(log, `"store":"store/cache-0","usable":false`)
 	})
 }
+
+// Guards against a daemon that starts and lets engines read again what others of them hold. Each prompt is used once, since the
+// daemon knows what it has placed itself.
+func TestStartingDaemonLearnsWhatEnginesHold(t *testing.T) {
+	f := newFleet(t, 1)
+	const prompts = 40
+	ask := func(d *daemon, prompt int, id string) {
+		f.call(d, http.MethodPost, "/ask/x", id, "prompt "+id, "X-Model", model, "X-Token-Count", "2050,6", "X-Prompt-Prefix", fmt.Sprint("book-", prompt, ":2000,0", id, ":50"))
+	}
+	for i := range prompts {
+		ask(f.daemons[0], i, fmt.Sprint("before-", i))
+	}
+	started, next := f.start(1), 0
+	f.await("a prompt that another daemon has placed isn't read again", func() bool {
+		id := fmt.Sprint("after-", next)
+		ask(started, next%prompts, id)
+		next++
+		_, line, _ := strings.Cut(started.log.String(), `"id":"`+id+`"`)
+		line, _, _ = strings.Cut(line, "\n")
+		return next <= prompts && strings.Contains(line, `"shared_read":0,`)
+	})
+}
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -66,7 +66,9 @@
 	State        State
 	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
 	Origins Origins
-	Logger  *slog.Logger
+	// Snapshot returns some of the parts that targets and stores hold, for a daemon that starts. Default: none.
+	Snapshot func(count int) []placer.Holding
+	Logger   *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
@@ -90,7 +92,7 @@
 	}
 	exchange := NewExchange(ExchangeSettings{
 		Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits,
-		State: settings.State, Origins: settings.Origins, Now: time.Now,
+		State: settings.State, Origins: settings.Origins, Snapshot: settings.Snapshot, Now: time.Now,
 	})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -175,5 +177,8 @@
 		if sendNow {
 			b.SendNow()
 		}
+		for _, outgoing := range b.TakeSnapshots() {
+			b.write(outgoing)
+		}
 	}
 }
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -49,7 +49,9 @@
 	State        State
 	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
 	Origins Origins
-	Now     func() time.Time
+	// Snapshot returns some of the parts that targets and stores hold, for a daemon that starts. Default: none.
+	Snapshot func(count int) []placer.Holding
+	Now      func() time.Time
 }
 
 // Exchange decides what a daemon sends to which others, and processes what it receives. It does no network I/O, and its
@@ -72,7 +74,8 @@
 	aggregator   Peer
 	aggregatorAt time.Time
 	// sent are the own loads in the last message to an aggregator.
-	sent []placer.Load
+	sent      []placer.Load
+	snapshots snapshots
 	// lastEmpty is set if the last exported update was empty.
 	lastEmpty bool
 }
@@ -257,6 +260,7 @@
 	}
 	if message.Scope == ScopeReceiver {
 		e.receiveOrigins(message)
+		e.receiveHoldings(message)
 		return false, nil
 	}
 	e.mu.Lock()
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -38,6 +38,8 @@
 	fieldOrigin protowire.Number = 15
 	// fieldAcknowledged contains the streams whose origins have arrived, eight bytes each.
 	fieldAcknowledged protowire.Number = 16
+	// fieldHoldingsWanted is the number of holdings that the sender wants of the receiver, which are told in holdings.
+	fieldHoldingsWanted protowire.Number = 19
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -87,6 +89,9 @@
 	Origins []recorder.Origin
 	// Acknowledged are the streams whose origins the receiver has told the sender; only in messages of ScopeReceiver.
 	Acknowledged []uint64
+	// HoldingsWanted is how many of the parts that targets and stores hold the receiver is asked to tell; only in messages of
+	// ScopeReceiver.
+	HoldingsWanted int
 }
 
 // maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
@@ -139,6 +144,7 @@
 	}
 	datagram = appendHashes(datagram, fieldMembers, m.Members)
 	datagram = appendHashes(datagram, fieldAcknowledged, m.Acknowledged)
+	datagram = appendVarint(datagram, fieldHoldingsWanted, uint64(max(m.HoldingsWanted, 0)))
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
 
@@ -296,6 +302,8 @@
 			message.Scope = Scope(min(value, math.MaxUint8))
 		case fieldLoadsOmitted:
 			update.LoadsOmitted = value != 0
+		case fieldHoldingsWanted:
+			message.HoldingsWanted = int(min(value, maxSnapshotHoldings))
 		}
 	})
 	if err == nil && (message.Sender == "" || message.Scope > ScopeReceiver) {
--- a/broadcaster/topology.go
+++ b/broadcaster/topology.go
@@ -64,6 +64,17 @@
 	return Peer{Name: name}
 }
 
+// find returns the daemon with a name.
+func (t *topology) find(name string) (peer Peer, found bool) {
+	for _, daemons := range t.remote {
+		if i := slices.IndexFunc(daemons, func(p Peer) bool { return p.Name == name }); i >= 0 {
+			return daemons[i], true
+		}
+	}
+	peer = t.localPeer(name)
+	return peer, peer.Address.IsValid()
+}
+
 // aggregated reports whether there are too many daemons for each to send to every other.
 func (t *topology) aggregated() bool { return t.peerCount > maxDirectPeers }
 
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -50,6 +50,7 @@
 	for i, key := range keys {
 		tokens := call.Parts[i].Tokens
 		isNew := t.cached.add(key, tokens, capacity, now.Add(best.expected))
+		t.cached.markShared(key)
 		p.seen.add(key)
 		if isNew {
 			added = append(added, key)
--- a/placer/parts.go
+++ b/placer/parts.go
@@ -20,6 +20,8 @@
 	tokens int
 	// availableAt is when the prefill of the part is expected to be complete; zero means that it is.
 	availableAt time.Time
+	// shared is set if the part was placed as a shared one or used again.
+	shared bool
 }
 
 func newPartCache() *partCache {
@@ -60,10 +62,21 @@
 	c.put(key, tokens, capacity)
 	if added {
 		c.setAvailableAt(key, availableAt)
+	} else {
+		c.markShared(key)
 	}
 	return added
 }
 
+// markShared records that a part does not belong to one call alone.
+func (c *partCache) markShared(key partKey) {
+	if element, found := c.entries[key]; found {
+		part := element.Value.(cachedPart)
+		part.shared = true
+		element.Value = part
+	}
+}
+
 // put adds a part or makes it the most recently used, and evicts the least recently used parts beyond the
 // capacity.
 func (c *partCache) put(key partKey, tokens, capacity int) {
--- a/placer/repeated_sim_test.go
+++ b/placer/repeated_sim_test.go
@@ -379,6 +379,9 @@
 		"restarts": func(s *sim) {
 			for i := range simDaemons / 2 {
 				s.daemons[i] = s.newDaemon(i)
+				s.after(500*time.Millisecond, func() {
+					s.daemons[i].Import("source", placer.PeerUpdate{LoadsOmitted: true, Holdings: s.daemons[simDaemons-1].Snapshot(2048)})
+				})
 			}
 		},
 	} {
