--- a/placer/placer.go
+++ b/placer/placer.go
@@ -93,6 +93,10 @@
 	// number of prompt tokens of other requests whose prefill is expected to come first.
 	PrefillTokens       int
 	QueuedPrefillTokens int
+	// SharedRead is the number of tokens of shared parts among PrefillTokens, and ReadCause why they have to be read; it is
+	// empty if there are none.
+	SharedRead int
+	ReadCause  ReadCause
 	// Requests is the number of running and waiting requests that the target is expected to have.
 	Requests int
 	// Attempt records the outcome at the target. The caller must call its Finish method.
@@ -208,7 +212,8 @@
 	// departures are the incarnations that said that they are leaving.
 	departures map[TargetHash]*departure
 	rates      map[string]*prefillEstimator // by service
-	store      *partStore
+	stores     storeSet
+	seen       seenParts
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
@@ -239,7 +244,6 @@
 		brittle:          make(map[string]brittleness),
 		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
-		store:            newPartStore(CacheStore{}),
 		unsharedPartSeed: settings.Seed,
 	}
 }
