allocator: quotas over all daemons, first slice

Cause: each daemon served the accounts without a bound, so the quota of an account did not hold under load. Change: package allocator (state machine, codec, driver), field 17 of broadcaster, the own entry in tracker, wiring in assembler.

--- /dev/null
+++ b/allocator/exchange.go
@@ -0,0 +1,367 @@
+package allocator
+
+import (
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+)
+
+// Advance serves the requests that wait and returns the messages that are due, and how long the next call may take.
+func (n *Node) Advance(now clocker.Instant) (messages []Outgoing, wait time.Duration) {
+	n.advanceClock(now)
+	if len(n.accounts) == 0 {
+		return nil, maxPatience
+	}
+	waiting := false
+	for a := range n.active {
+		a.serve(n.terms, n.now)
+		if len(a.entries) == 0 && (n.terms.creates || a.debt == 0 && !a.told && a.ahead(n.now) == 0) {
+			delete(n.active, a)
+		}
+		waiting = waiting || len(a.entries) > 0 || a.debt > 0
+	}
+	messages = n.ask(waiting)
+	messages = append(messages, n.answer()...)
+	n.forgetChildren()
+	if waiting {
+		return messages, queueWake
+	}
+	return messages, relayHeartbeat / 2
+}
+
+// ask returns the messages to the coordinator and to those that might be it.
+func (n *Node) ask(waiting bool) (messages []Outgoing) {
+	limit := 0
+	switch {
+	case n.parent == nil:
+		limit = n.probes()
+	case n.now.Sub(n.parent.answeredAt) > suspicionTimeout:
+		limit = firstProbes << 1
+	}
+	before, passed := 0, n.parent == nil
+	for _, c := range n.candidates {
+		if c == n.parent {
+			passed = true
+			if n.dueToParent(waiting) {
+				messages = append(messages, n.report()...)
+			}
+			continue
+		}
+		if passed && limit <= 0 {
+			break
+		}
+		if passed {
+			limit--
+		} else if before++; before > firstProbes<<1 {
+			continue // Better ranked daemons that do not answer will disappear from the listing.
+		}
+		if n.now.Sub(c.askedAt) >= probeInterval || c.askedAt == 0 {
+			messages = append(messages, n.message(c, Message{}))
+		}
+	}
+	return messages
+}
+
+// dueToParent reports whether a message to the coordinator is due.
+func (n *Node) dueToParent(waiting bool) bool {
+	since := n.now.Sub(n.parent.askedAt)
+	interval := heartbeat
+	if n.relays() {
+		interval = relayHeartbeat
+	}
+	if waiting {
+		interval = refreshInterval
+		if n.parent.answeredAt < n.parent.askedAt {
+			interval = retryInterval + n.parent.roundTrip
+		}
+	}
+	if n.urgent || n.wantsAhead() {
+		interval = minSpacing
+	}
+	return since >= interval
+}
+
+// relays reports whether others transfer their time to this daemon.
+func (n *Node) relays() bool {
+	for _, c := range n.children {
+		if c.fresh(n.now) && c.share > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// wantsAhead reports whether less than half of what should be at hand for requests to come is there.
+func (n *Node) wantsAhead() bool {
+	if n.parent.answeredAt < n.parent.askedAt {
+		return false // What the last message asked for is not known yet.
+	}
+	for a := range n.active {
+		if wanted := a.ahead(n.now); len(a.entries) == 0 && a.debt == 0 && a.inLots(n.now) < wanted/2 && !a.aheadRefused(n.now) {
+			return true
+		}
+	}
+	return false
+}
+
+// report returns the messages that transfer the backlog to the coordinator and tell it what is wanted.
+func (n *Node) report() (messages []Outgoing) {
+	n.urgent = false
+	n.parent.transferred += n.backlog
+	n.backlog = 0
+	var wants []Want
+	for a := range n.active {
+		want := n.want(a)
+		if wanted := len(want.Needs) > 0 || want.Debt > 0 || want.Ahead > 0; wanted || a.told {
+			wants = append(wants, want)
+			a.told = wanted
+		}
+	}
+	for first := true; first || len(wants) > 0; first = false {
+		part := wants[:min(len(wants), maxWants)]
+		wants = wants[len(part):]
+		messages = append(messages, n.message(n.parent, Message{Share: n.share(), Wants: part}))
+	}
+	return messages
+}
+
+// want returns what is wanted of an account.
+func (n *Node) want(a *account) Want {
+	want := Want{Account: a.hash, Seen: n.parent.seen[a.hash], Debt: a.debt}
+	for _, e := range a.entries {
+		if len(want.Needs) == maxNeeds {
+			break
+		}
+		want.Needs = append(want.Needs, Need{ID: e.id, Amount: e.missing(), Patience: e.deadline.Sub(n.now)})
+	}
+	if wanted, there := a.ahead(n.now), a.inLots(n.now); len(a.entries) == 0 && there < wanted {
+		want.Ahead = wanted - there
+		a.aheadAt = n.now
+	}
+	return want
+}
+
+// message completes a message to a coordinator.
+func (n *Node) message(to *coordinator, message Message) Outgoing {
+	message.Sender, message.Receiver = n.settings.Incarnation, to.incarnation
+	message.SentAt, message.Echo = n.nextStamp(), to.echo
+	message.Time = to.transferred
+	to.askedAt = message.SentAt
+	return Outgoing{To: to.Name, Message: message}
+}
+
+// nextStamp returns the time as a stamp that no message had before.
+func (n *Node) nextStamp() clocker.Instant {
+	n.stamp = max(n.now, n.stamp+1)
+	return n.stamp
+}
+
+// Receive processes a message of another daemon.
+func (n *Node) Receive(sender string, message Message, now clocker.Instant) {
+	n.advanceClock(now)
+	if len(n.accounts) == 0 || message.Sender == n.settings.Incarnation {
+		return
+	}
+	if message.Reply {
+		n.receiveAnswer(sender, message)
+		return
+	}
+	n.receiveReport(sender, message)
+}
+
+// receiveReport processes a message of a daemon that takes this one for its coordinator. Totals count whenever they arrive. The rest
+// counts only if the sender had heard from this incarnation lately: it may be old, for example after a pause of this process.
+func (n *Node) receiveReport(sender string, message Message) {
+	addressed := message.Receiver == n.settings.Incarnation
+	c := n.children[message.Sender]
+	if c == nil {
+		if len(n.children) >= maxChildren {
+			return
+		}
+		c = newChild(sender, message.Sender)
+		n.children[message.Sender] = c
+		if addressed {
+			c.received = message.Time // It may have been counted before the child was forgotten.
+		}
+	}
+	c.heardAt = n.now
+	isNew := message.SentAt > c.sentAt
+	c.sentAt = max(c.sentAt, message.SentAt)
+	c.replyDue = true
+	if !addressed {
+		return
+	}
+	gained := max(message.Time-c.received, 0)
+	c.received += gained
+	if isNew && message.Echo != 0 && n.now.Sub(message.Echo) <= maxEchoAge {
+		c.share, c.freshAt = message.Share, n.now
+	} else {
+		isNew = false
+	}
+	n.backlog += gained
+	n.advanceClock(n.now)
+	if isNew {
+		for _, want := range message.Wants {
+			n.receiveWant(c, want)
+		}
+	}
+}
+
+// receiveWant updates what a daemon wants of an account, and serves it.
+func (n *Node) receiveWant(c *child, want Want) {
+	a := n.accounts[want.Account]
+	if a == nil {
+		return
+	}
+	claim := c.claim(want.Account)
+	claim.observe(want.Seen, n.now)
+	c.changed(claim)
+	a.fill(n.terms)
+	if want.Debt > 0 && want.Seen >= claim.debtMark {
+		a.take(want.Debt, n.terms, n.now)
+		claim.grant(want.Debt, n.now)
+		claim.debtMark = claim.total
+	}
+	n.withdrawUnlisted(a, claim, want)
+	for _, need := range want.Needs {
+		n.receiveNeed(a, claim, need)
+	}
+	n.giveAhead(a, claim, want)
+	n.watch(a)
+}
+
+// withdrawUnlisted drops the needs of a daemon that it does not tell any more.
+func (n *Node) withdrawUnlisted(a *account, claim *claim, want Want) {
+	listed := make(map[uint64]bool, len(want.Needs))
+	for _, need := range want.Needs {
+		listed[need.ID] = true
+	}
+	for id := range claim.decided {
+		if !listed[id] {
+			delete(claim.decided, id)
+		}
+	}
+	for i := len(a.entries) - 1; i >= 0; i-- {
+		if e := a.entries[i]; e.claim == claim && !listed[e.idThere] {
+			a.remove(e)
+			a.add(e.held, n.now.Add(lotLifetime))
+		}
+	}
+}
+
+// receiveNeed adds a need, unless it is known.
+func (n *Node) receiveNeed(a *account, claim *claim, need Need) {
+	if _, decided := claim.decided[need.ID]; decided {
+		return
+	}
+	for _, e := range a.entries {
+		if e.claim == claim && e.idThere == need.ID {
+			return
+		}
+	}
+	n.place(a, &entry{claim: claim, idThere: need.ID, amount: need.Amount, deadline: n.now.Add(min(need.Patience, MaxWait))})
+}
+
+// giveAhead grants units for requests to come, if nobody waits for them.
+func (n *Node) giveAhead(a *account, claim *claim, want Want) {
+	if want.Ahead == 0 || want.Seen < claim.aheadMark || len(a.entries) > 0 {
+		return
+	}
+	spare := a.available(n.terms, n.now)
+	if n.terms.creates {
+		spare -= aheadReserve * a.capacity(n.terms)
+	}
+	if spare < float64(want.Ahead) {
+		return
+	}
+	a.take(want.Ahead, n.terms, n.now)
+	a.count(want.Ahead, n.now)
+	claim.grant(want.Ahead, n.now)
+	claim.aheadMark = claim.total
+}
+
+// receiveAnswer processes the answer of a coordinator. One to a message that was sent lotLifetime ago is of no use.
+func (n *Node) receiveAnswer(sender string, message Message) {
+	c := n.candidate(sender)
+	age := n.now.Sub(message.Echo)
+	if c == nil || message.Receiver != n.settings.Incarnation || message.Echo == 0 || age < 0 || age >= lotLifetime || message.Sender == c.retired {
+		return
+	}
+	if message.Sender != c.incarnation {
+		c.become(message.Sender)
+	}
+	if message.Echo > c.answeredAt {
+		c.answeredAt, c.roundTrip = message.Echo, age
+	}
+	c.echo = max(c.echo, message.SentAt)
+	for _, grant := range message.Grants {
+		n.receiveGrant(c, grant, message.Echo.Add(lotLifetime))
+	}
+	n.advanceClock(n.now)
+}
+
+func (n *Node) candidate(name string) *coordinator {
+	for _, c := range n.candidates {
+		if c.Name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// receiveGrant adds the units that were granted since the last answer, and ends the waits of what was refused.
+func (n *Node) receiveGrant(c *coordinator, grant Grant, expires clocker.Instant) {
+	a := n.accounts[grant.Account]
+	if a == nil {
+		return
+	}
+	for _, refusal := range grant.Refusals {
+		for _, e := range a.entries {
+			if e.id == refusal.ID {
+				a.retryAt = n.now.Add(refusal.RetryAfter)
+				a.refuse(e, refusal.RetryAfter, n.now)
+				break
+			}
+		}
+	}
+	from := max(c.seen[grant.Account], grant.From)
+	if grant.Total > from {
+		a.add(grant.Total-from, expires)
+	}
+	c.seen[grant.Account] = max(c.seen[grant.Account], grant.Total)
+	a.serve(n.terms, n.now)
+	n.watch(a)
+	n.urgent = n.urgent || len(a.entries) > maxNeeds
+}
+
+// answer returns the answers that are due.
+func (n *Node) answer() (messages []Outgoing) {
+	for _, c := range n.children {
+		if !c.replyDue && len(c.due) == 0 {
+			continue
+		}
+		var grants []Grant
+		for _, claim := range c.due {
+			grants = append(grants, claim.grantMessage())
+		}
+		c.replyDue = false
+		clear(c.due)
+		for first := true; first || len(grants) > 0; first = false {
+			part := grants[:min(len(grants), maxWants)]
+			grants = grants[len(part):]
+			messages = append(messages, Outgoing{To: c.name, Message: Message{
+				Sender: n.settings.Incarnation, Receiver: c.incarnation, SentAt: n.nextStamp(), Echo: c.sentAt, Reply: true, Grants: part,
+			}})
+		}
+	}
+	return messages
+}
+
+// forgetChildren forgets incarnations that have been silent for long.
+func (n *Node) forgetChildren() {
+	for incarnation, c := range n.children {
+		if n.now.Sub(c.heardAt) > childRetention {
+			delete(n.children, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/allocator/node.go
@@ -0,0 +1,339 @@
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/clocker"
+)
+
+const (
+	// heartbeat is the time between two messages to the coordinator of a daemon without requests that wait, and relayHeartbeat
+	// that of one whose messages pass on the time of others.
+	heartbeat      = 200 * time.Millisecond
+	relayHeartbeat = 100 * time.Millisecond
+	// minSpacing is the least time between two messages to the coordinator.
+	minSpacing = 4 * time.Millisecond
+	// retryInterval is how long a message with needs may stay unanswered before they are told again, beyond the usual time of an
+	// answer, and refreshInterval is how often needs that wait at the coordinator are told again.
+	retryInterval   = 30 * time.Millisecond
+	refreshInterval = 80 * time.Millisecond
+	// maxBacklog bounds the fleet time that a daemon keeps while it has no coordinator, and what it creates after a pause.
+	maxBacklog = 500 * time.Millisecond
+	// creationStep is the least time that is created at once, so that rounding loses little.
+	creationStep = time.Millisecond
+	// maxEchoAge is the age, by the own clock, of the message that a daemon must have received for its wishes to count.
+	maxEchoAge = time.Second
+	// maxWants is the number of accounts in a message, which then fits into one packet.
+	maxWants = 24
+	// settleStep is the change of a coordinator's share upon which all buckets are filled by the old one.
+	settleStep = 0.02
+	// queueWake is the longest time between two calls of Advance while requests wait.
+	queueWake = 5 * time.Millisecond
+)
+
+// NodeSettings are the parameters of a Node.
+type NodeSettings struct {
+	Self Peer
+	// Incarnation is a random number that identifies the process. It is not zero.
+	Incarnation uint64
+}
+
+// Outgoing is a message to another daemon.
+type Outgoing struct {
+	To      string
+	Message Message
+}
+
+// Quota is the quota of one account.
+type Quota struct {
+	Account       string
+	RatePerSecond float64
+	Burst         float64
+	// InTokens is set if the quota counts tokens and not requests.
+	InTokens bool
+}
+
+// Node decides what one daemon grants, uses and sends. It does no network I/O and has no goroutines; each method gets the time of
+// the boot clock, which must not decrease. Its methods are not safe for concurrent use.
+type Node struct {
+	settings NodeSettings
+	now      clocker.Instant
+	// stamp is the last SentAt.
+	stamp    clocker.Instant
+	roster   *roster
+	accounts map[AccountHash]*account
+	// active are the accounts that have needs or debts or want units ahead.
+	active     map[*account]bool
+	candidates []*coordinator
+	// parent is the coordinator of this daemon; nil if it has none. searchingSince is since when it has none.
+	parent         *coordinator
+	searchingSince clocker.Instant
+	children       map[uint64]*child
+
+	createdAt clocker.Instant
+	// backlog is fleet time that was neither transferred nor converted yet.
+	backlog time.Duration
+	terms   terms
+	// urgent is set if there is something to tell the coordinator at once.
+	urgent bool
+}
+
+// NewNode returns a Node without accounts and peers.
+func NewNode(settings NodeSettings) *Node {
+	return &Node{
+		settings: settings, roster: newRoster(settings.Self.DataCentre), accounts: make(map[AccountHash]*account),
+		active: make(map[*account]bool), children: make(map[uint64]*child),
+	}
+}
+
+// SetQuotas replaces the quotas. A bucket whose capacity shrinks loses what it has beyond it.
+func (n *Node) SetQuotas(quotas []Quota, now clocker.Instant) {
+	n.advanceClock(now)
+	if len(n.accounts) == 0 {
+		n.createdAt, n.searchingSince = now, now
+	}
+	before := n.accounts
+	n.accounts = make(map[AccountHash]*account, len(quotas))
+	for _, quota := range quotas {
+		hash := HashAccount(quota.Account)
+		a := before[hash]
+		if a == nil {
+			a = &account{hash: hash, name: quota.Account}
+		}
+		a.fill(n.terms)
+		a.rate, a.burst, a.inTokens = quota.RatePerSecond, quota.Burst, quota.InTokens
+		a.fill(n.terms)
+		n.accounts[hash] = a
+	}
+	for hash, a := range before {
+		if n.accounts[hash] == nil {
+			n.drop(a)
+		}
+	}
+}
+
+// drop grants the waiting requests of an account that has no quota any more.
+func (n *Node) drop(a *account) {
+	for _, e := range a.entries {
+		if e.waiter != nil {
+			e.waiter.Granted = true
+			close(e.waiter.Done)
+		}
+	}
+	a.entries = nil
+	delete(n.active, a)
+}
+
+// SetListing applies a reading of the daemons' entries.
+func (n *Node) SetListing(listing Listing, now clocker.Instant) {
+	n.advanceClock(now)
+	n.roster.set(listing, now)
+	known := make(map[string]*coordinator, len(n.candidates))
+	for _, c := range n.candidates {
+		known[c.Name] = c
+	}
+	n.candidates = nil
+	for _, peer := range coordinatorsFor(n.settings.Self, listing.Peers) {
+		c := known[peer.Name]
+		if c == nil {
+			c = &coordinator{}
+		}
+		c.Peer = peer
+		n.candidates = append(n.candidates, c)
+	}
+}
+
+// Confirm records when the last listing was known to be current.
+func (n *Node) Confirm(at clocker.Instant) { n.roster.confirm(at) }
+
+// Acquire takes an amount of the quota of an account. It returns nil if there is none, and otherwise a Waiter, which may already be done.
+func (n *Node) Acquire(hash AccountHash, amount uint64, now clocker.Instant) *Waiter {
+	n.advanceClock(now)
+	a := n.accounts[hash]
+	if a == nil {
+		return nil
+	}
+	w := &Waiter{Done: make(chan struct{}), account: a, amount: amount}
+	n.place(a, &entry{claim: &a.local, waiter: w, amount: amount, deadline: now.Add(MaxWait)})
+	return w
+}
+
+// place adds a need to the queue of an account. A coordinator refuses it at once if it can't be granted in time.
+func (n *Node) place(a *account, e *entry) {
+	a.enqueue(e)
+	a.serve(n.terms, n.now)
+	n.watch(a)
+	if !slices.Contains(a.entries, e) {
+		return
+	}
+	if e.waiter != nil {
+		a.usage.Waited++
+	}
+	n.urgent = true
+	if wait := a.wait(e, n.terms, n.now); n.terms.creates && wait > e.deadline.Sub(n.now) {
+		a.refuse(e, wait, n.now)
+	}
+}
+
+// Withdraw ends the wait of a request. What it may already have got is given back.
+func (n *Node) Withdraw(w *Waiter, now clocker.Instant) {
+	n.advanceClock(now)
+	for _, e := range w.account.entries {
+		if e.waiter == w {
+			w.account.refuse(e, w.account.wait(e, n.terms, now), now)
+			return
+		}
+	}
+	if w.Granted {
+		n.refund(w.account, w.amount)
+	}
+}
+
+// Charge takes an amount without a check, which may leave a debt.
+func (n *Node) Charge(hash AccountHash, amount uint64, now clocker.Instant) {
+	n.advanceClock(now)
+	if a := n.accounts[hash]; a != nil {
+		a.fill(n.terms)
+		a.take(amount, n.terms, now)
+		a.count(amount, now)
+		a.usage.Granted += amount
+		n.urgent = n.urgent || a.debt > 0
+		n.watch(a)
+	}
+}
+
+// Refund gives back units that were not used.
+func (n *Node) Refund(hash AccountHash, amount uint64, now clocker.Instant) {
+	n.advanceClock(now)
+	if a := n.accounts[hash]; a != nil {
+		n.refund(a, amount)
+	}
+}
+
+func (n *Node) refund(a *account, amount uint64) {
+	a.usage.Refunded += amount
+	a.add(amount, n.now.Add(lotLifetime))
+	a.serve(n.terms, n.now)
+	n.watch(a)
+}
+
+// watch makes Advance look at an account while it has needs or debts, or wants units ahead.
+func (n *Node) watch(a *account) { n.active[a] = true }
+
+// advanceClock creates the fleet time since the last call and updates who coordinates.
+func (n *Node) advanceClock(now clocker.Instant) {
+	n.now = max(now, n.now)
+	if len(n.accounts) == 0 {
+		return
+	}
+	if elapsed := n.now.Sub(n.createdAt); elapsed >= creationStep {
+		n.createdAt = n.now
+		if n.roster.mayCreate(n.now) {
+			n.backlog += min(elapsed, maxBacklog) / time.Duration(n.roster.count(n.now))
+		}
+	}
+	n.choose()
+	share := n.share()
+	n.backlog = min(n.backlog, time.Duration(share*float64(maxBacklog)))
+	if n.parent != nil || !n.terms.creates {
+		return
+	}
+	n.setShare(share)
+	n.terms.time += n.backlog
+	n.backlog = 0
+}
+
+// setShare sets the share of a coordinator that creates units. Buckets are filled under the old share before.
+func (n *Node) setShare(share float64) {
+	if change := share - n.terms.share; change > settleStep || change < -settleStep {
+		for _, a := range n.accounts {
+			a.fill(n.terms)
+		}
+	}
+	n.terms.share, n.terms.majority = min(share, 1), share > 0.5
+	for a := range n.active {
+		a.fill(n.terms)
+	}
+}
+
+// share returns the part of the fleet whose time reaches this daemon.
+func (n *Node) share() (share float64) {
+	if n.roster.mayCreate(n.now) {
+		share = 1 / float64(n.roster.count(n.now))
+	}
+	for _, c := range n.children {
+		if c.fresh(n.now) {
+			share += c.share
+		}
+	}
+	return min(share, 1)
+}
+
+// choose chooses the coordinator: the first candidate that answers. Without one, this daemon creates units itself, after it has
+// asked all candidates.
+func (n *Node) choose() {
+	before := n.parent
+	n.parent = nil
+	for _, c := range n.candidates {
+		if c.answers(n.now) {
+			n.parent = c
+			break
+		}
+	}
+	switch {
+	case n.parent != nil:
+		n.searchingSince = 0
+		n.endTerm()
+		n.urgent = n.urgent || n.parent != before && len(n.active) > 0
+		return
+	case before != nil:
+		n.searchingSince = before.answeredAt
+	case n.searchingSince == 0:
+		n.searchingSince = n.now
+	}
+	if !n.terms.creates && n.exhausted() {
+		n.beginTerm()
+	}
+}
+
+// exhausted reports whether all candidates were asked and none has answered.
+func (n *Node) exhausted() bool {
+	if len(n.candidates) == 0 {
+		return true
+	}
+	return n.probes() >= len(n.candidates) && n.now.Sub(n.searchingSince) > answerTimeout
+}
+
+// probes returns the number of candidates that are asked while there is no coordinator.
+func (n *Node) probes() int {
+	rounds := min(int(n.now.Sub(n.searchingSince)/probeInterval), 16)
+	return firstProbes << rounds
+}
+
+// beginTerm makes this daemon create units. Its buckets start empty.
+func (n *Node) beginTerm() {
+	n.terms = terms{creates: true, share: n.share()}
+	for _, a := range n.accounts {
+		a.level, a.levelAt = -float64(a.debt), 0
+		a.debt = 0
+	}
+}
+
+// endTerm makes this daemon get its units from another. What its buckets have can be used for a short time, as if it was granted now.
+func (n *Node) endTerm() {
+	if !n.terms.creates {
+		return
+	}
+	n.setShare(n.share())
+	for _, a := range n.accounts {
+		a.fill(n.terms)
+		if a.level >= 1 {
+			a.add(uint64(a.level), n.now.Add(lotLifetime))
+		} else if a.level <= -1 {
+			a.debt += uint64(-a.level)
+		}
+		a.level = 0
+	}
+	n.terms = terms{}
+}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -24,6 +24,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/rosemaryrill/rosemaryrill/allocator"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/follower"
@@ -125,6 +126,7 @@
 	// accounts remembers that the deployment has client accounts.
 	accounts   *marker.Marker
 	delegation delegation
+	quotas     *allocator.Allocator
 	sharing    *sharedStore
 	catchUp    catchUp
 	startTime  time.Time
@@ -157,6 +159,7 @@
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.origins = d.newOrigins()
+	d.quotas = d.newQuotas()
 	d.view = d.newDeploymentView()
 	d.accounts = marker.New(marker.Settings{
 		Name: settings.Name, Store: d.store, Key: accountsKey, OnMarked: d.view.declarations.RequireKeys, Logger: d.loggerFor("marker"),
@@ -166,7 +169,7 @@
 	d.cachePolling.poller = d.newPoller()
 	d.broadcaster, err = broadcaster.New(broadcaster.Settings{
 		Listen: settings.PeersListen, Name: settings.Name, DataCentre: settings.DataCentre,
-		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Origins: d.origins, Logger: d.loggerFor("broadcaster"),
+		LinkMegabits: settings.Hosted.LinkMegabits, State: d.view, Origins: d.origins, Quotas: d.quotas, Logger: d.loggerFor("broadcaster"),
 	})
 	if err != nil {
 		return nil, errs.Combine(err, d.close())
@@ -188,6 +191,7 @@
 		f.Start(ctx)
 	}
 	d.origins.start(ctx)
+	d.quotas.Start(ctx)
 	d.accounts.Start(ctx)
 	d.delegation.prober.Start(ctx)
 	d.coordination.presenceLease.Start(ctx)
@@ -256,6 +260,7 @@
 	}
 	d.catchUp.tasks.Wait()
 	group.Add(d.origins.close())
+	group.Add(d.quotas.Close())
 	group.Add(d.accounts.Close())
 	if d.delegation.prober != nil {
 		group.Add(d.delegation.close())
@@ -279,7 +284,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory, Quotas: d.quotas,
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -93,9 +93,9 @@
 	c.poller.SetTargets(polled)
 }
 
-// applyPeers passes the other daemons to the broadcaster and the shared store, their names to the attributor and the placer,
+// applyPeers passes the other daemons to the broadcaster, the allocator and the shared store, their names to the attributor and the placer,
 // and the daemons to the assignment of the polling.
-func (d *Daemon) applyPeers(peers []tracker.Peer) {
+func (d *Daemon) applyPeers(peers []tracker.Peer, own tracker.OwnEntry) {
 	receivers, names := make([]broadcaster.Peer, 0, len(peers)), make([]string, 0, len(peers))
 	for _, peer := range peers {
 		receivers = append(receivers, broadcastPeer(peer))
@@ -108,6 +108,7 @@
 	d.accounts.SetPeers(names)
 	d.setDelegates(receivers)
 	d.sharing.setPeers(d.settings.DataCentre, receivers)
+	d.setQuotaPeers(receivers, own)
 	d.catchUpWith(receivers)
 	d.cachePolling.mu.Lock()
 	defer d.cachePolling.mu.Unlock()
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -84,6 +84,7 @@
 			v.placer.SetEngines(engineCapacities(catalog))
 			v.placer.SetCacheStore(cacheStore(catalog))
 			d.cachePolling.setCacheStore(catalog)
+			d.quotas.SetQuotas(catalog.LimitedAccounts())
 			if catalog.ListsAccounts() {
 				d.accounts.Declare()
 			}
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -56,6 +56,12 @@
 	Acknowledge(daemon string, streams []uint64)
 }
 
+// Quotas receives the messages of other daemons on quotas.
+type Quotas interface {
+	// Receive processes a message, which it does not keep.
+	Receive(daemon string, message []byte)
+}
+
 // Settings are the parameters of a Broadcaster.
 type Settings struct {
 	Listen     netip.AddrPort
@@ -66,7 +72,9 @@
 	State        State
 	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
 	Origins Origins
-	Logger  *slog.Logger
+	// Quotas gets the messages of other daemons on quotas. Default: nobody.
+	Quotas Quotas
+	Logger *slog.Logger
 }
 
 // Broadcaster exchanges datagrams with its peers.
@@ -90,7 +98,7 @@
 	}
 	exchange := NewExchange(ExchangeSettings{
 		Name: settings.Name, DataCentre: settings.DataCentre, LinkMegabits: settings.LinkMegabits,
-		State: settings.State, Origins: settings.Origins, Now: time.Now,
+		State: settings.State, Origins: settings.Origins, Quotas: settings.Quotas, Now: time.Now,
 	})
 	b = &Broadcaster{Exchange: exchange, logger: settings.Logger, socket: socket, wake: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,6 +156,14 @@
 	b.write(Outgoing{To: []netip.AddrPort{daemon}, Datagrams: message.Encode()})
 }
 
+// SendQuota sends a message on quotas to a daemon. Nothing is sent to a daemon that is not registered.
+func (b *Broadcaster) SendQuota(daemon string, message []byte) {
+	if address, found := b.address(daemon); found {
+		datagram := Message{Sender: b.self.Name, Scope: ScopeReceiver, Quota: message}
+		b.write(Outgoing{To: []netip.AddrPort{address}, Datagrams: datagram.Encode()})
+	}
+}
+
 func (b *Broadcaster) write(outgoing Outgoing) {
 	for _, datagram := range outgoing.Datagrams {
 		for _, receiver := range outgoing.To {
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -49,7 +49,9 @@
 	State        State
 	// Origins gets what other daemons tell of the origins of streams. Default: nobody.
 	Origins Origins
-	Now     func() time.Time
+	// Quotas gets the messages of other daemons on quotas. Default: nobody.
+	Quotas Quotas
+	Now    func() time.Time
 }
 
 // Exchange decides what a daemon sends to which others, and processes what it receives. It does no network I/O, and its
@@ -132,6 +134,14 @@
 	return now.Sub(e.heard[peer.Name]) <= aliveTimeout || now.Sub(e.listed[nameHash(peer.Name)]) <= aliveTimeout
 }
 
+// address returns the address of another daemon.
+func (e *Exchange) address(name string) (address netip.AddrPort, found bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	address, found = e.topology.addresses[name]
+	return address, found
+}
+
 // heardLately reports whether a message of the daemon arrived within aggregatorTimeout.
 func (e *Exchange) heardLately(peer Peer) bool {
 	return e.settings.Now().Sub(e.heard[peer.Name]) <= aggregatorTimeout
@@ -257,6 +267,9 @@
 	}
 	if message.Scope == ScopeReceiver {
 		e.receiveOrigins(message)
+		if e.settings.Quotas != nil && len(message.Quota) > 0 {
+			e.settings.Quotas.Receive(message.Sender, message.Quota)
+		}
 		return false, nil
 	}
 	e.mu.Lock()
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -38,6 +38,8 @@
 	fieldOrigin protowire.Number = 15
 	// fieldAcknowledged contains the streams whose origins have arrived, eight bytes each.
 	fieldAcknowledged protowire.Number = 16
+	// fieldQuota is a message of package allocator. It is a valid submessage, as daemons that do not know it demand.
+	fieldQuota protowire.Number = 17
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -87,6 +89,8 @@
 	Origins []recorder.Origin
 	// Acknowledged are the streams whose origins the receiver has told the sender; only in messages of ScopeReceiver.
 	Acknowledged []uint64
+	// Quota is a message of package allocator; only in messages of ScopeReceiver.
+	Quota []byte
 }
 
 // maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
@@ -139,6 +143,9 @@
 	}
 	datagram = appendHashes(datagram, fieldMembers, m.Members)
 	datagram = appendHashes(datagram, fieldAcknowledged, m.Acknowledged)
+	if len(m.Quota) > 0 {
+		datagram = protowire.AppendBytes(protowire.AppendTag(datagram, fieldQuota, protowire.BytesType), m.Quota)
+	}
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
 
@@ -266,7 +273,7 @@
 	return protowire.AppendBytes(message, encoded)
 }
 
-// Decode decodes a datagram. Unknown fields are skipped.
+// Decode decodes a datagram, which must not change while the message is used. Unknown fields are skipped.
 func Decode(datagram []byte) (message Message, err error) {
 	update := &message.Update
 	err = decodeFields(datagram, func(field protowire.Number, value []byte) error {
@@ -280,6 +287,9 @@
 		case fieldAcknowledged:
 			message.Acknowledged = decodeHashes(value)
 			return nil
+		case fieldQuota:
+			message.Quota = value
+			return nil
 		}
 		decoded, err := decodeSubmessage(value)
 		if err != nil {
--- a/broadcaster/topology.go
+++ b/broadcaster/topology.go
@@ -30,13 +30,16 @@
 	remote map[string][]Peer
 	// remoteOf is the data centre of each daemon in remote, by name.
 	remoteOf map[string]string
+	// addresses are the addresses of all daemons except self, by name.
+	addresses map[string]netip.AddrPort
 	// peerCount counts all daemons except self.
 	peerCount int
 }
 
 func newTopology(self Peer, peers []Peer) *topology {
-	t := &topology{self: self, local: []Peer{self}, remote: make(map[string][]Peer), remoteOf: make(map[string]string), peerCount: len(peers)}
+	t := &topology{self: self, local: []Peer{self}, remote: make(map[string][]Peer), remoteOf: make(map[string]string), peerCount: len(peers), addresses: make(map[string]netip.AddrPort, len(peers))}
 	for _, peer := range peers {
+		t.addresses[peer.Name] = peer.Address
 		if peer.DataCentre == self.DataCentre {
 			t.local = append(t.local, peer)
 		} else {
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -191,12 +191,13 @@
 
 // Catalog is one version of the declarations with indexes. Its methods are safe for concurrent use.
 type Catalog struct {
-	version       int64
-	limits        Limits
-	listsAccounts bool
-	byHost        map[string][]*Route
-	services      map[string]*Service // by name
-	accounts      map[string]*Account // by API key
+	version         int64
+	limits          Limits
+	listsAccounts   bool
+	byHost          map[string][]*Route
+	services        map[string]*Service // by name
+	accounts        map[string]*Account // by API key
+	limitedAccounts []*Account
 	// keysRequired is set if requests need a key although no accounts are listed.
 	keysRequired bool
 	// longestStream is the longest timeout of a route with streams.
@@ -235,6 +236,9 @@
 				c.accounts[key] = &declarations.Accounts[i]
 			}
 		}
+		if declarations.Accounts[i].Quota.Limited() {
+			c.limitedAccounts = append(c.limitedAccounts, &declarations.Accounts[i])
+		}
 	}
 	return c
 }
@@ -278,6 +282,9 @@
 	return account, found
 }
 
+// LimitedAccounts returns the accounts that have a quota.
+func (c *Catalog) LimitedAccounts() []*Account { return c.limitedAccounts }
+
 // Service returns a service by its name.
 func (c *Catalog) Service(name string) (service *Service, found bool) {
 	service, found = c.services[name]
--- a/tracker/odd_log_test.go
+++ b/tracker/odd_log_test.go
@@ -21,7 +21,7 @@
 		Decode:   func(storer.Item) (placer.Target, error) { return placer.Target{}, huge },
 		OnChange: func([]placer.Target) {}, Logger: logger,
 	})
-	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OnChange: func([]tracker.Peer) {}, Logger: logger})
+	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OnChange: func([]tracker.Peer, tracker.OwnEntry) {}, Logger: logger})
 	declarations := tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: func(storer.Item) (tracker.Declared, error) { return tracker.Declared{}, huge }, Logger: logger,
 	})
--- a/tracker/odd_peer_test.go
+++ b/tracker/odd_peer_test.go
@@ -11,7 +11,7 @@
 // Guards against a peer that is nowhere: it counts among the daemons, and with a link beyond all others it is asked first.
 func TestOddEntryNamesNoPeer(t *testing.T) {
 	var known []tracker.Peer
-	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OnChange: func(p []tracker.Peer) { known = p }, Logger: discardLogger()})
+	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OnChange: func(p []tracker.Peer, _ tracker.OwnEntry) { known = p }, Logger: discardLogger()})
 	for _, odd := range []string{
 		"", "10.0.0.2:0 north 1", "10.0.0.2:70000 north 1", "0.0.0.0:5 north 1", "[::]:5 north 1", "224.0.0.1:5 north 1", "host:5 north 1",
 		"10.0.0.2:5 north 1e400", "10.0.0.2:5 north NaN", "10.0.0.2:5 north Inf", "10.0.0.2:5 north -1", "10.0.0.2:5 north many", "10.0.0.2:5 north 1 2", "\xff",
--- a/tracker/peers.go
+++ b/tracker/peers.go
@@ -32,23 +32,32 @@
 type PeerTrackerSettings struct {
 	// OwnAddress is the address of this daemon, which is excluded from the peers.
 	OwnAddress netip.AddrPort
-	// OnChange is called with all peers after each call of Reset and HandleEvents, even if no peer changed.
-	OnChange func([]Peer)
+	// OnChange is called with all peers and the own entry after each call of Reset and HandleEvents, even if nothing changed.
+	OnChange func(peers []Peer, own OwnEntry)
 	Logger   *slog.Logger
 }
 
+// OwnEntry is the entry of this daemon in the store.
+type OwnEntry struct {
+	// Listed is set if the entry is there, and Lease is the lease to which it is bound.
+	Listed bool
+	Lease  storer.LeaseID
+}
+
 // PeerTracker tracks the other daemons by their entries in the store.
 type PeerTracker struct {
 	settings PeerTrackerSettings
 
 	mu    sync.Mutex
 	known map[string]Peer
-	odd   oddEntries
+	// leases are the leases to which the entries are bound.
+	leases map[string]storer.LeaseID
+	odd    oddEntries
 }
 
 // NewPeerTracker returns a PeerTracker without any peer.
 func NewPeerTracker(settings PeerTrackerSettings) *PeerTracker {
-	return &PeerTracker{settings: settings, known: make(map[string]Peer)}
+	return &PeerTracker{settings: settings, known: make(map[string]Peer), leases: make(map[string]storer.LeaseID)}
 }
 
 // Reset replaces all peers. After an outage, peers whose entries are missing are kept, since the entries may
@@ -59,6 +68,7 @@
 	defer p.mu.Unlock()
 	if !afterOutage {
 		clear(p.known)
+		clear(p.leases)
 	}
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
@@ -76,6 +86,7 @@
 	for _, event := range events {
 		if event.Kind == storer.EventDelete {
 			delete(p.known, event.Item.Key)
+			delete(p.leases, event.Item.Key)
 			p.odd.forget(event.Item.Key)
 			continue
 		}
@@ -93,7 +104,7 @@
 		return
 	}
 	p.odd.forget(item.Key)
-	p.known[item.Key] = peer
+	p.known[item.Key], p.leases[item.Key] = peer, item.Lease
 }
 
 // decodePeer decodes the entry that a daemon wrote about itself. An entry without the bandwidth is that of an older daemon.
@@ -119,12 +130,15 @@
 
 func (p *PeerTracker) publish() {
 	peers := make([]Peer, 0, len(p.known))
-	for _, peer := range p.known {
-		if peer.Address != p.settings.OwnAddress {
-			peers = append(peers, peer)
+	var own OwnEntry
+	for key, peer := range p.known {
+		if peer.Address == p.settings.OwnAddress {
+			own = OwnEntry{Listed: true, Lease: p.leases[key]}
+			continue
 		}
+		peers = append(peers, peer)
 	}
-	p.settings.OnChange(peers)
+	p.settings.OnChange(peers, own)
 }
 
 // ItemSink receives items and events from a follower.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -164,7 +164,7 @@
 func TestPeersExcludeOwnDaemon(t *testing.T) {
 	var known []tracker.Peer
 	own, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
-	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OwnAddress: own, OnChange: func(p []tracker.Peer) { known = p }, Logger: discardLogger()})
+	peers := tracker.NewPeerTracker(tracker.PeerTrackerSettings{OwnAddress: own, OnChange: func(p []tracker.Peer, _ tracker.OwnEntry) { known = p }, Logger: discardLogger()})
 	peers.Reset([]storer.Item{item("h/a", own.String(), 1), item("h/b", string(tracker.EncodePeer(tracker.Peer{Address: other, DataCentre: "north", LinkMegabits: 200})), 2), item("h/c", "?", 3)}, false)
 	if !slices.Equal(known, []tracker.Peer{{Key: "h/b", Address: other, DataCentre: "north", LinkMegabits: 200}}) {
 		t.Errorf("peers are %v", known)
