--- a/assembler/view.go
+++ b/assembler/view.go
@@ -85,6 +85,7 @@
 			stores := cacheStores(catalog)
 			v.placer.SetCacheStores(stores)
 			d.cachePolling.setStores(stores)
+			d.quotas.SetQuotas(catalog.LimitedAccounts())
 			if catalog.ListsAccounts() {
 				d.accounts.Declare()
 			}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -40,6 +40,8 @@
 	fieldAcknowledged protowire.Number = 16
 	// fieldHoldingsWanted is the number of holdings that the sender wants of the receiver, which are told in holdings.
 	fieldHoldingsWanted protowire.Number = 19
+	// fieldQuota is a message of package allocator. It is a valid submessage, as daemons that do not know it demand.
+	fieldQuota protowire.Number = 17
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -92,6 +94,8 @@
 	// HoldingsWanted is how many of the parts that targets and stores hold the receiver is asked to tell; only in messages of
 	// ScopeReceiver.
 	HoldingsWanted int
+	// Quota is a message of package allocator; only in messages of ScopeReceiver.
+	Quota []byte
 }
 
 // maxMessageBytes is the size beyond which no further holdings are added to a message. It lies below the usual MTU of
@@ -145,6 +149,9 @@
 	datagram = appendHashes(datagram, fieldMembers, m.Members)
 	datagram = appendHashes(datagram, fieldAcknowledged, m.Acknowledged)
 	datagram = appendVarint(datagram, fieldHoldingsWanted, uint64(max(m.HoldingsWanted, 0)))
+	if len(m.Quota) > 0 {
+		datagram = protowire.AppendBytes(protowire.AppendTag(datagram, fieldQuota, protowire.BytesType), m.Quota)
+	}
 	return appendUpgradePlan(datagram, m.Update.UpgradePlan)
 }
 
@@ -272,7 +279,7 @@
 	return protowire.AppendBytes(message, encoded)
 }
 
-// Decode decodes a datagram. Unknown fields are skipped.
+// Decode decodes a datagram, which must not change while the message is used. Unknown fields are skipped.
 func Decode(datagram []byte) (message Message, err error) {
 	update := &message.Update
 	err = decodeFields(datagram, func(field protowire.Number, value []byte) error {
@@ -286,6 +293,9 @@
 		case fieldAcknowledged:
 			message.Acknowledged = decodeHashes(value)
 			return nil
+		case fieldQuota:
+			message.Quota = value
+			return nil
 		}
 		decoded, err := decodeSubmessage(value)
 		if err != nil {
