--- a/allocator/account.go
+++ b/allocator/account.go
@@ -74,9 +74,10 @@
 	decided map[uint64]decision
 }
 
+// decision is the end of a need at the coordinator. grantedTotal is the total of the claim after the grant; zero if it was refused.
 type decision struct {
-	granted    bool
-	retryAfter time.Duration
+	grantedTotal uint64
+	retryAfter   time.Duration
 }
 
 // lot is an amount that can be used until it expires.
@@ -293,7 +294,7 @@
 		return
 	}
 	e.claim.grant(e.amount, now)
-	e.claim.decided[e.idThere] = decision{granted: true}
+	e.claim.decided[e.idThere] = decision{grantedTotal: e.claim.total}
 }
 
 // grant numbers further units.
--- a/allocator/exchange.go
+++ b/allocator/exchange.go
@@ -224,7 +224,7 @@
 	}
 	n.withdrawUnlisted(a, claim, want)
 	for _, need := range want.Needs {
-		n.receiveNeed(a, claim, need)
+		n.receiveNeed(a, claim, need, want.Seen)
 	}
 	n.giveAhead(a, claim, want)
 	n.watch(a)
@@ -249,10 +249,14 @@
 	}
 }
 
-// receiveNeed adds a need, unless it is known.
-func (n *Node) receiveNeed(a *account, claim *claim, need Need) {
-	if _, decided := claim.decided[need.ID]; decided {
-		return
+// receiveNeed adds a need, unless it is known. One that was granted is new if its daemon has seen the grant and still tells it: the
+// units went to another request there.
+func (n *Node) receiveNeed(a *account, claim *claim, need Need, seen uint64) {
+	if known, decided := claim.decided[need.ID]; decided {
+		if known.grantedTotal == 0 || known.grantedTotal > seen {
+			return
+		}
+		delete(claim.decided, need.ID)
 	}
 	for _, e := range a.entries {
 		if e.claim == claim && e.idThere == need.ID {
--- a/allocator/peer.go
+++ b/allocator/peer.go
@@ -148,7 +148,7 @@
 func (c *claim) grantMessage() Grant {
 	grant := Grant{Account: c.account, From: c.from, Total: c.total}
 	for id, decided := range c.decided {
-		if !decided.granted {
+		if decided.grantedTotal == 0 {
 			grant.Refusals = append(grant.Refusals, Refusal{ID: id, RetryAfter: decided.retryAfter})
 		}
 	}
--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -281,5 +281,3 @@
 	}
 	return 394
 }
-
-var _ = testing.Short
