admitter, relayer, broadcaster, placer, assembler: fair shares of an overloaded service

Cause: under overload the placer refuses whichever request comes, so callers of accounts within their usual rate lose as much as those of an account that sends a multiple of it. Change: package admitter sums up demanded, served, late and refused work by service and account, computes weighted max-min shares while a service is overloaded, and sheds what exceeds them before a target is chosen (503, over_share). The daemons exchange the sums in field 18 of the state message while a service is strained. Result: in the simulations of the package's tests 15 steady accounts keep 98% or more of their requests beside one that sends 5 to 7 times its usual rate; 16 equal accounts get shares within 15% of the mean.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -280,7 +280,7 @@
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
 		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory,
-		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
+		RetryBudget: d.newRetryBudgets(), Admission: view.admitter, Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
 }
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -51,6 +51,7 @@
 		{"rill_unreachable_targets", "Targets to which this daemon cannot open connections.", func() int64 { return int64(v.placer.UnreachableCount()) }},
 		{"rill_peers", "Other daemons that are registered, or that were heard of lately if these are more.", func() int64 { return int64(d.broadcaster.PeerCount()) }},
 		{"rill_open_requests", "Requests that are open.", func() int64 { return int64(d.edge.drainer.OpenRequests()) }},
+		{"rill_short_services", "Services that are overloaded, so that accounts are held to their shares.", v.admitter.ShortServices},
 		{"rill_panics", "Panics of background tasks since the start.", supervisor.Panics},
 		{"rill_log_lines_dropped", "Log lines that found no room.", d.logWriter.Dropped},
 	} {
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/admitter"
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/follower"
@@ -24,6 +25,7 @@
 	daemonsFollower      *follower.Follower
 	placer               *placer.Placer
 	attributor           *attributor.Attributor
+	admitter             *admitter.Admitter
 	upgrader             *upgrader.Upgrader
 	caughtUp             func() bool
 }
@@ -59,6 +61,7 @@
 	update := v.placer.Export()
 	update.Strikes, update.Completions = v.attributor.Export(strikesPerMessage)
 	update.UpgradePlan = v.upgrader.Plan()
+	update.AccountDemands, update.ServiceSupplies = v.admitter.Export()
 	return update
 }
 
@@ -67,6 +70,7 @@
 	v.placer.Import(peer, update)
 	v.upgrader.ApplyPlan(update.UpgradePlan)
 	v.attributor.Import(update.Strikes, update.Completions)
+	v.admitter.Import(peer, update.AccountDemands, update.ServiceSupplies)
 }
 
 func (d *Daemon) newDeploymentView() *deploymentView {
@@ -78,6 +82,7 @@
 	v.attributor = attributor.New(attributor.Settings{
 		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.targetRefuses, Now: time.Now,
 	})
+	v.admitter = admitter.New(admitter.Settings{Now: time.Now, Logger: d.loggerFor("admitter")})
 	v.declarations = tracker.NewDeclarationTracker(tracker.DeclarationTrackerSettings{
 		Decode: decodeDeclaration,
 		OnCatalog: func(catalog *cataloger.Catalog) {
--- a/broadcaster/aggregate.go
+++ b/broadcaster/aggregate.go
@@ -30,6 +30,7 @@
 	// localPlan is the upgrade plan that a member told, and remotePlan the one that came from elsewhere. Only the former
 	// goes to other data centres, since a plan that returns there might replace a newer one.
 	localPlan, remotePlan receivedPlan
+	demands               demandBook
 }
 
 // receivedPlan is an upgrade plan and when it was received.
@@ -40,19 +41,21 @@
 
 func newAggregate() *aggregate {
 	return &aggregate{
-		members: make(map[string]contribution), remote: make(map[string]contribution), localNews: newNews(), remoteNews: newNews(),
+		members: make(map[string]contribution), remote: make(map[string]contribution), localNews: newNews(), remoteNews: newNews(), demands: newDemandBook(),
 	}
 }
 
 // addMember records the state of a daemon of the own data centre.
 func (a *aggregate) addMember(name string, update placer.PeerUpdate, now time.Time) {
 	record(a.members, name, update, now)
+	a.demands.local.record(name, update, now)
 	a.localNews.add(update)
 }
 
 // addRemote records the state of another data centre.
 func (a *aggregate) addRemote(sender string, update placer.PeerUpdate, now time.Time) {
 	record(a.remote, sender, update, now)
+	a.demands.remote.record(sender, update, now)
 	a.remoteNews.add(update)
 }
 
@@ -105,6 +108,7 @@
 func (a *aggregate) combine(self Peer, own placer.PeerUpdate, now time.Time) (forRemote, forMembers Message) {
 	a.localNews.add(own)
 	plan := newerPlan(own.UpgradePlan, a.localPlan.current(now))
+	a.demands.local.record(self.Name, own, now)
 	sum := make(workSum)
 	sum.add(own.Loads)
 	sum.addAll(a.members)
@@ -114,6 +118,7 @@
 	a.localNews.fill(&local)
 	sum.addAll(a.remote)
 	fleet := local
+	a.demands.fill(&local, &fleet, now)
 	fleet.Loads = sum.loads()
 	fleet.UpgradePlan = newerPlan(plan, a.remotePlan.current(now))
 	all := newNews()
--- a/broadcaster/exchange.go
+++ b/broadcaster/exchange.go
@@ -73,6 +73,8 @@
 	aggregatorAt time.Time
 	// sent are the own loads in the last message to an aggregator.
 	sent []placer.Load
+	// sentDemands are the own demands that were last sent to an aggregator.
+	sentDemands demandReport
 	// lastEmpty is set if the last exported update was empty.
 	lastEmpty bool
 }
@@ -206,6 +208,7 @@
 // sendUpstream returns the own state for the aggregator of the data centre.
 func (e *Exchange) sendUpstream(own placer.PeerUpdate, upstream []Peer) []Outgoing {
 	e.sent = own.Loads
+	e.noteDemands(own)
 	return []Outgoing{{To: addresses(upstream, e.self), Datagrams: Message{Sender: e.self.Name, Update: own}.Encode()}}
 }
 
@@ -214,9 +217,10 @@
 // also reports to the daemon that does.
 func (e *Exchange) sendAggregate(own placer.PeerUpdate, leads bool, upstream []Peer, now time.Time) (outgoing []Outgoing) {
 	forRemote, forMembers := e.aggregate.combine(e.self, own, now)
+	e.noteDemands(own)
 	members := e.topology.local
 	if leads {
-		e.importWork(forMembers.Update.Loads, own.Loads)
+		e.importWork(forMembers.Update, own.Loads)
 	} else {
 		members = e.reporting()
 		outgoing = append(outgoing, e.sendUpstream(own, upstream)...)
@@ -244,8 +248,17 @@
 }
 
 // importWork replaces the known work of the fleet. own is the part of it that is this daemon's.
-func (e *Exchange) importWork(loads, own []placer.Load) {
-	e.settings.State.Import(fleetName, placer.PeerUpdate{Loads: without(loads, own)})
+func (e *Exchange) importWork(fleet placer.PeerUpdate, own []placer.Load) {
+	others := placer.PeerUpdate{Loads: without(fleet.Loads, own)}
+	others.AccountDemands, others.ServiceSupplies = demandsWithout(fleet, e.sentDemands.current(e.settings.Now()))
+	e.settings.State.Import(fleetName, others)
+}
+
+// noteDemands keeps the own demands, if the update has any, since sums that are received later contain them.
+func (e *Exchange) noteDemands(own placer.PeerUpdate) {
+	if len(own.ServiceSupplies) > 0 {
+		e.sentDemands = demandReport{update: own, receivedAt: e.settings.Now()}
+	}
 }
 
 // Receive processes a datagram. It reports whether a message should be sent at once, since a changed upgrade plan has to
@@ -280,6 +293,7 @@
 	}
 	news := message.Update
 	news.Loads, news.LoadsOmitted = nil, true
+	news.AccountDemands, news.ServiceSupplies = nil, nil
 	e.settings.State.Import(message.Sender, news)
 	return sendNow, nil
 }
@@ -307,7 +321,7 @@
 		return
 	}
 	e.aggregator, e.aggregatorAt = sender, now
-	e.importWork(message.Update.Loads, e.sent)
+	e.importWork(message.Update, e.sent)
 }
 
 func addresses(peers []Peer, self Peer) (receivers []netip.AddrPort) {
--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -44,6 +44,8 @@
 	completions []attributor.Completion
 	limits      []placer.RateLimit
 	departures  []placer.TargetHash
+	// demands are the last updates with demands, by the sender.
+	demands map[string]placer.PeerUpdate
 }
 
 func (d *simulatedDaemon) Export() placer.PeerUpdate {
@@ -56,6 +58,9 @@
 	if !update.LoadsOmitted {
 		d.work[peer] = slices.Clone(update.Loads)
 	}
+	if len(update.ServiceSupplies) > 0 {
+		d.demands[peer] = update
+	}
 	d.holdings = append(d.holdings, update.Holdings...)
 	d.strikes = append(d.strikes, update.Strikes...)
 	d.completions = append(d.completions, update.Completions...)
@@ -103,7 +108,7 @@
 		blocked: func(_, _ *simulatedDaemon) bool { return false }, observe: func([][]byte) {},
 	}
 	for i := range count {
-		d := &simulatedDaemon{work: make(map[string][]placer.Load)}
+		d := &simulatedDaemon{work: make(map[string][]placer.Load), demands: make(map[string]placer.PeerUpdate)}
 		d.peer = broadcaster.Peer{
 			Name: fmt.Sprintf("d%d", i), DataCentre: fmt.Sprintf("dc%d", i%dataCentres),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i % 250)}), 80),
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -38,6 +38,8 @@
 	fieldOrigin protowire.Number = 15
 	// fieldAcknowledged contains the streams whose origins have arrived, eight bytes each.
 	fieldAcknowledged protowire.Number = 16
+	// fieldDemand is what an account demands of a service. Without fieldAccounts it is what became of the work of a service.
+	fieldDemand protowire.Number = 18
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -134,6 +136,7 @@
 	for _, incarnation := range m.Update.Departures {
 		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
 	}
+	datagram = appendDemands(datagram, m.Update)
 	for _, origin := range m.Origins {
 		datagram = appendModel(datagram, fieldOrigin, origin.Software, origin.Number(), origin.Stream)
 	}
@@ -325,6 +328,8 @@
 		update.Departures = append(update.Departures, placer.TargetHash(s.numbers[fieldTarget]))
 	case fieldCompletion:
 		update.Completions = append(update.Completions, attributor.Completion{Cause: attributor.Cause(s.numbers[fieldCause]), Age: s.age()})
+	case fieldDemand:
+		s.addDemand(update)
 	case fieldAnnouncedVersion:
 		update.AnnouncedVersions = append(update.AnnouncedVersions, s.announcedVersion())
 	}
@@ -360,7 +365,7 @@
 // submessage is a decoded submessage: its string, if it has one, and its numbers by field.
 type submessage struct {
 	text    string
-	numbers [fieldPendingPrefill + placer.Urgencies]uint64
+	numbers [fieldAccounts + 1]uint64
 }
 
 func decodeSubmessage(message []byte) (s submessage, err error) {
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -85,15 +85,18 @@
 	RateLimits        []RateLimit
 	// Departures are the incarnations that said that they are leaving.
 	Departures []TargetHash
+	// AccountDemands and ServiceSupplies are absent from most updates. Those last received remain valid for a while.
+	AccountDemands  []AccountDemand
+	ServiceSupplies []ServiceSupply
 	// UpgradePlan is the plan of the sender if it holds the update lock.
 	UpgradePlan UpgradePlan
 }
 
-// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits, departures or targets that
+// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits, departures, demands or targets that
 // are being upgraded. An update with only the rest, such as announced versions, need not be sent, since the next update contains it too.
 func (u PeerUpdate) Empty() bool {
 	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.Completions) == 0 && len(u.RateLimits) == 0 &&
-		len(u.Departures) == 0 && len(u.UpgradePlan.Upgrading) == 0
+		len(u.Departures) == 0 && len(u.AccountDemands) == 0 && len(u.ServiceSupplies) == 0 && len(u.UpgradePlan.Upgrading) == 0
 }
 
 // peer is the last known work of another daemon at the targets.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -203,6 +203,7 @@
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = time.Now()
 	}
+	r.recordBeginning()
 	if r.route.CallKind == cataloger.CallStream {
 		r.software = choice.Target.Software
 	}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -68,6 +68,9 @@
 	response     *httptest.ResponseRecorder
 	// lastEventID and resumes make the calls take a stream up.
 	lastEventID, resumes string
+	// admission is asked for the calls' shares; nil if none is. retryAfter is that of the last refusal.
+	admission  relayer.Admission
+	retryAfter time.Duration
 }
 
 // recording records the origins of streams for a harness.
@@ -177,6 +180,11 @@
 	h.catalog = cataloger.New(2, cataloger.Declarations{Routes: routes(), ListsAccounts: true})
 }
 
+// listNoAccounts puts a configuration in force that has no accounts.
+func (h *harness) listNoAccounts() {
+	h.catalog = cataloger.New(2, cataloger.Declarations{Routes: routes()})
+}
+
 // setTargets sets the targets, with the version of the software that each one has by its id.
 func (h *harness) setTargets(software func(id string) string) {
 	var targets []placer.Target
@@ -236,6 +244,7 @@
 }
 
 func (h *harness) Refuse(rw http.ResponseWriter, refusal relayer.Refusal) {
+	h.retryAfter = refusal.RetryAfter
 	rw.Header().Set("Reason", string(refusal.Reason))
 	if refusal.NotRun {
 		rw.Header().Set("Not-Run", "1")
@@ -325,7 +334,7 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Admission: h.admission, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -29,6 +29,8 @@
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonQuota: the quota of the request's account is used up.
 	ReasonQuota Reason = "quota"
+	// ReasonOverShare: the service is overloaded, and the account demands more than its share of it.
+	ReasonOverShare Reason = "over_share"
 	// ReasonBusy: the daemon has too many requests that other daemons passed on to it.
 	ReasonBusy Reason = "busy"
 	// ReasonUnknownOrigin: the caller takes a stream up again, and it is not known which version of the targets' software began it.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -189,7 +189,7 @@
 	Find(ctx context.Context, stream recorder.Stream) (software string, known bool)
 }
 
-// Settings are the parameters of a Relayer. Origins, Delegator, Crashes, Logger, Tracer and Observe are optional.
+// Settings are the parameters of a Relayer. Origins, Admission, Delegator, Crashes, Logger, Tracer and Observe are optional.
 type Settings struct {
 	Configuration Configuration
 	Placer        Placer
@@ -202,6 +202,8 @@
 	Origins Origins
 	// Quotas bounds what the requests of accounts consume. Default: no bound.
 	Quotas Quotas
+	// Admission sheds requests of accounts beyond their shares of overloaded services. Default: none are shed.
+	Admission Admission
 	// Delegator passes calls on whose targets this daemon does not reach. Default: they are refused.
 	Delegator Delegator
 	Crashes   CrashAttributor
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/admitter"
 	"github.com/rosemaryrill/rosemaryrill/attributor"
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/placer"
@@ -51,6 +52,10 @@
 	charged     *cataloger.Account
 	chargedCost float64
 
+	// shareAsked is set once Admission was asked, and admitted is the request as it was admitted, until its outcome is recorded.
+	shareAsked bool
+	admitted   *admitter.Request
+
 	// attempts counts the attempts, and runs those that a target may have run.
 	attempts     int
 	runs         int
@@ -158,6 +163,9 @@
 	if refusal := r.acquireQuota(ctx); refusal != nil {
 		return true, refusal
 	}
+	if refusal := r.admitShare(); refusal != nil {
+		return true, refusal
+	}
 	choice, refusal := r.choose()
 	if taken, delegatedRefusal := r.handOver(ctx, refusal); taken {
 		return true, delegatedRefusal
@@ -306,6 +314,7 @@
 // finish ends the request with a refusal, or aborts the connection if the head of an answer was already
 // written. If the request may have run, a refusal with NotRun set is replaced by a failure with the same reason.
 func (r *relayedRequest) finish(refusal *Refusal) {
+	r.recordRefusal(refusal.Reason)
 	if r.headWritten {
 		r.abort = true
 		r.result = string(refusal.Reason)
@@ -373,14 +382,6 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
-// sharedTokensToRead returns how many tokens of the shared parts the target was expected to read.
-func (r *relayedRequest) sharedTokensToRead() int {
-	if len(r.call.Prompt.Parts) < 2 {
-		return 0
-	}
-	return max(r.choice.PrefillTokens-r.call.Prompt.Parts[len(r.call.Prompt.Parts)-1].Tokens, 0)
-}
-
 func addressText(address netip.AddrPort) string {
 	if !address.IsValid() {
 		return ""
