--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -286,7 +286,8 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory, Quotas: d.quotas,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation,
+		Crashes: view.attributor, Memory: d.memory, Quotas: d.quotas, Admission: view.admitter,
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -38,10 +38,12 @@
 	fieldOrigin protowire.Number = 15
 	// fieldAcknowledged contains the streams whose origins have arrived, eight bytes each.
 	fieldAcknowledged protowire.Number = 16
-	// fieldHoldingsWanted is the number of holdings that the sender wants of the receiver, which are told in holdings.
-	fieldHoldingsWanted protowire.Number = 19
 	// fieldQuota is a message of package allocator. It is a valid submessage, as daemons that do not know it demand.
 	fieldQuota protowire.Number = 17
+	// fieldDemand is what an account demands of a service. Without fieldAccounts it is what became of the work of a service.
+	fieldDemand protowire.Number = 18
+	// fieldHoldingsWanted is the number of holdings that the sender wants of the receiver, which are told in holdings.
+	fieldHoldingsWanted protowire.Number = 19
 
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
@@ -143,6 +145,7 @@
 	for _, incarnation := range m.Update.Departures {
 		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
 	}
+	datagram = appendDemands(datagram, m.Update)
 	for _, origin := range m.Origins {
 		datagram = appendModel(datagram, fieldOrigin, origin.Software, origin.Number(), origin.Stream)
 	}
@@ -343,6 +346,8 @@
 		update.Departures = append(update.Departures, placer.TargetHash(s.numbers[fieldTarget]))
 	case fieldCompletion:
 		update.Completions = append(update.Completions, attributor.Completion{Cause: attributor.Cause(s.numbers[fieldCause]), Age: s.age()})
+	case fieldDemand:
+		s.addDemand(update)
 	case fieldAnnouncedVersion:
 		update.AnnouncedVersions = append(update.AnnouncedVersions, s.announcedVersion())
 	}
@@ -378,7 +383,7 @@
 // submessage is a decoded submessage: its string, if it has one, and its numbers by field.
 type submessage struct {
 	text    string
-	numbers [fieldPendingPrefill + placer.Urgencies]uint64
+	numbers [fieldAccounts + 1]uint64
 }
 
 func decodeSubmessage(message []byte) (s submessage, err error) {
