placer, relayer: speed of each target, and no herding onto the least loaded

Cause: every daemon sent to the target with the lowest cost by messages that are up to some 130 ms old, ties went to the first target, and the estimate used one rate for all targets of a service. WorkPercent was not used.

Change: - Attempt.RecordLoad takes the whole load report. Each incarnation has a factor: what it reports (the last report, fading to the mean of all reports with a time constant of 300 ms) times what measured prefill times show beyond that (mean of logarithms with a prior of 4 samples). A lasting speed therefore counts once, whether or not the reports contain it. The factor applies to prefill, backlog, interference and the penalties for requests. - Plain services: Attempt.RecordAnswer samples the time of a whole answer; the cost then contains the answer time at the target. - The requests of other daemons that are not known yet are estimated from this daemon's own rate, and fill the least loaded targets up to a common level. The call is drawn among the targets below the level of its class. A daemon without peers chooses the lowest cost as before. - A report of requests loses weight with its age, and own sends since count. - The prefill chunk is a field of Engine (default 2,048 tokens as before). - Candidates reuse one slice.

Failed try: one common level for all calls, with draws among costs within 3%: the fastest targets got up to 8 times the mean, since long prompts gain more there than the average request. Hence the classes.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -17,6 +17,8 @@
 	// pending and nothing is fetched.
 	measurable bool
 	chosenAt   time.Time
+	// slotFraction is the part of the time at the target in which the request is expected to have a slot.
+	slotFraction float64
 	// addedParts are the parts that the target was not known to hold before the attempt.
 	addedParts []partKey
 
@@ -34,6 +36,8 @@
 	}
 	a.work.pendingPrefill[call.Urgency] = best.prefillTokens + overheadTokens(call)
 	a.measurable = t.combinedWork().pendingPrefill.total() == 0 && best.fetchedTokens == 0
+	a.slotFraction = t.slotFraction(t.requestCount(t.combinedWork(), now))
+	p.recordSend(call, a.work.pendingPrefill.total(), now)
 	p.noteExtra(t, now)
 	t.localWork.add(a.work)
 	t.limit.take()
@@ -155,19 +159,10 @@
 		a.target.cached.setAvailableAt(key, time.Time{})
 	}
 	if a.measurable {
-		p.samplePrefillRate(a)
+		p.sampleSpeed(a)
 	}
 }
 
-// samplePrefillRate adds the time from the choice to the first event to the estimate of the prefill rate.
-func (p *Placer) samplePrefillRate(a *Attempt) {
-	service := a.target.Service
-	if p.rates[service] == nil {
-		p.rates[service] = &prefillEstimator{}
-	}
-	p.rates[service].add(a.work.pendingPrefill.total(), p.settings.Now().Sub(a.chosenAt))
-}
-
 // Finish ends the attempt, whatever its outcome, and removes its remaining work from the target. Further calls have
 // no effect.
 func (a *Attempt) Finish() {
@@ -241,9 +236,9 @@
 	a.updateTarget(func(t *target, _ time.Time) { t.recordVersion(a.model, version) })
 }
 
-// RecordRequestCount records the number of running and waiting requests that the target reports.
-func (a *Attempt) RecordRequestCount(requests int) {
-	a.updateTarget(func(t *target, now time.Time) { t.reportedRequests, t.reportedAt = requests, now })
+// RecordLoad records the load that the target reports.
+func (a *Attempt) RecordLoad(report LoadReport) {
+	a.updateTarget(func(t *target, now time.Time) { t.recordLoad(report, now) })
 }
 
 func (a *Attempt) updateTarget(change func(t *target, now time.Time)) {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -62,6 +62,13 @@
 	// should send the shared parts; nil if there is none.
 	fetchStore *partStore
 	saveStore  *partStore
+	// factor is how long work takes at the target, as a factor of the usual time at the targets of the service.
+	factor float64
+	// loadCost is the part of the cost that does not depend on the call, and marginal how much one more request adds to it, both
+	// in nanoseconds.
+	loadCost, marginal float64
+	// level is what Placer.draw works on.
+	level levelled
 }
 
 func (c candidate) saveAddress() netip.AddrPort {
@@ -123,7 +130,7 @@
 func (p *Placer) effectiveLimit(call Call, c candidate) time.Duration {
 	limit := call.FirstEventLimit
 	if limit > 0 {
-		limit = max(limit, p.rates[call.Service].prefillTime(c.prefillTokens)+time.Duration(longPromptWaitFraction*float64(limit)))
+		limit = max(limit, scaled(p.rates[call.Service].prefillTime(c.prefillTokens), c.factor)+time.Duration(longPromptWaitFraction*float64(limit)))
 	}
 	if call.TimeLeft > 0 && (limit == 0 || call.TimeLeft < limit) {
 		return call.TimeLeft
@@ -140,7 +147,7 @@
 // bestCandidate returns the candidate with the lowest cost among the allowed targets, or a NoTargetError if none of them
 // can accept the call.
 func (p *Placer) bestCandidate(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
-	var candidates []candidate
+	candidates := p.scratch[:0]
 	index := p.newHolderIndex(call, now)
 	retryAfter := time.Duration(0)
 	for _, t := range p.byService[call.Service] {
@@ -166,11 +173,12 @@
 			candidates = append(candidates, c)
 		}
 	}
+	p.scratch = candidates
 	if len(candidates) == 0 {
 		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: max(retryAfter, defaultRetryAfter)}
 	}
 	p.preferHome(call, candidates)
-	return slices.MinFunc(candidates, func(a, b candidate) int { return int(a.cost - b.cost) }), nil
+	return *p.draw(call, candidates, now), nil
 }
 
 // weightsUsable reports whether the request is expected to begin at the target before Settings.VersionBound ends for the
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -8,17 +9,21 @@
 func (p *Placer) estimate(t *target, index *holderIndex) candidate {
 	call, now := index.call, index.now
 	c := candidate{target: t, version: t.Versions[call.Model]}
+	c.factor = t.speed.factor(now)
 	load := t.combinedWork()
 	load.requests = t.requestCount(load, now)
 	c.expected = time.Duration(max(load.requests, 0)) * runningRequestPenalty
 	if excess := load.requests + 1 - t.Slots; excess > 0 {
 		c.expected += time.Duration(excess) * queuedRequestPenalty
+		c.marginal = c.factor * float64(queuedRequestPenalty)
 	}
+	c.expected = scaled(c.expected, c.factor)
 	if t.DataCentre != p.settings.DataCentre {
 		c.expected += crossDataCentrePenalty
 	}
 	if call.Model == "" {
-		c.cost = c.expected
+		c.cost = c.expected + p.answerCost(&c, load.requests)
+		c.loadCost = float64(c.cost)
 		return c
 	}
 	p.estimatePrompt(&c, index, load)
@@ -30,8 +35,8 @@
 }
 
 const (
-	// prefillChunkTokens is how many prompt tokens an engine prefills between two tokens of its streams.
-	prefillChunkTokens = 2048
+	// defaultPrefillChunkTokens is how many prompt tokens an engine prefills between two tokens of its streams, unless known.
+	defaultPrefillChunkTokens = 2048
 	// ownSlowdownWeight multiplies the time that the call's stream loses to the prefill of prompts queued behind the
 	// call.
 	ownSlowdownWeight = 0.5
@@ -46,9 +51,9 @@
 func (p *Placer) interference(c candidate, call Call, load work) time.Duration {
 	rates := p.rates[call.Service]
 	backlog := rates.prefillTime(load.pendingPrefill.total() - load.pendingPrefill.ahead(call.Urgency))
-	ownSlowdown := min(backlog, time.Duration(call.OutputTokens)*rates.prefillTime(prefillChunkTokens))
+	ownSlowdown := min(backlog, time.Duration(call.OutputTokens)*rates.prefillTime(p.engines[call.Service].chunkTokens()))
 	othersSlowdown := time.Duration(load.requests) * rates.prefillTime(c.prefillTokens)
-	return time.Duration(ownSlowdownWeight*float64(ownSlowdown) + othersSlowdownWeight*float64(othersSlowdown))
+	return time.Duration(c.factor * (ownSlowdownWeight*float64(ownSlowdown) + othersSlowdownWeight*float64(othersSlowdown)))
 }
 
 // estimatePrompt adds the time for fetching cached parts, for the prefill of the rest of the prompt and for the prefill
@@ -70,12 +75,34 @@
 	if c.fetchStore == nil {
 		c.saveStore = holders.saveStore
 	}
-	c.expected += source.duration + p.rates[call.Service].prefillTime(load.pendingPrefill.ahead(call.Urgency)+c.prefillTokens+overheadTokens(call))
+	rates := p.rates[call.Service]
+	backlog := load.pendingPrefill.ahead(call.Urgency)
+	c.loadCost = float64(c.expected) + c.factor*float64(rates.prefillTime(backlog))
+	c.expected += source.duration + scaled(rates.prefillTime(backlog+c.prefillTokens+overheadTokens(call)), c.factor)
 	if engine.CacheTokens > 0 && load.kvCacheTokens+call.unsharedTokens() > int(preemptionFraction*float64(engine.CacheTokens)) {
 		c.expected += preemptionPenalty
 	}
 }
 
+// chunkTokens returns how many prompt tokens an engine prefills between two tokens of its streams.
+func (e Engine) chunkTokens() int { return cmp.Or(e.PrefillChunkTokens, defaultPrefillChunkTokens) }
+
+// answerCost returns the time that the target is expected to take for the answer itself, as far as that is known, and the time
+// for which the call may wait for a slot although some seemed free. It also adds what one more request costs the next.
+func (p *Placer) answerCost(c *candidate, requests int) time.Duration {
+	times := p.answerTimes[c.target.Service]
+	if !times.known() {
+		return 0
+	}
+	answerTime := c.factor * times.median
+	wait := func(requests int) float64 {
+		used := min(float64(max(requests, 0))/float64(max(c.target.Slots, 1)), 1)
+		return answerTime * used * used * used * used
+	}
+	c.marginal += wait(requests+1) - wait(requests)
+	return time.Duration(answerTime + wait(requests))
+}
+
 // requestOverheadTokens is the cost of a model call without its prompt, as an equivalent number of prefill tokens.
 const requestOverheadTokens = 400
 
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -199,7 +199,7 @@
 	if t == nil {
 		return 0
 	}
-	return p.rates[t.Service].prefillTime(t.combinedWork().pendingPrefill.total())
+	return scaled(p.rates[t.Service].prefillTime(t.combinedWork().pendingPrefill.total()), t.speed.factor(p.settings.Now()))
 }
 
 func identity(w work) work { return w }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,10 +24,13 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Target describes one incarnation of a target, as it reports itself.
@@ -156,6 +159,8 @@
 	TokenBytes  int
 	// LinkBitsPerSecond is the bandwidth at which an engine transfers cached tokens.
 	LinkBitsPerSecond float64
+	// PrefillChunkTokens is the number of prompt tokens that an engine prefills between two tokens of its streams; zero if unknown.
+	PrefillChunkTokens int
 }
 
 // wantedVersion is a wanted version of the weights of a model, and the time since which it is wanted.
@@ -214,6 +219,12 @@
 	rates      map[string]*prefillEstimator // by service
 	stores     storeSet
 	seen       seenParts
+	// answerTimes are the times of answers without a model at the usual target, in nanoseconds.
+	answerTimes map[string]*medianEstimator // by service
+	sendRates   map[string]*serviceRates    // by service
+	random      *rand.Rand
+	// scratch is the memory of the candidates of one choice after another.
+	scratch []candidate
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
@@ -244,6 +255,9 @@
 		brittle:          make(map[string]brittleness),
 		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
+		answerTimes:      make(map[string]*medianEstimator),
+		sendRates:        make(map[string]*serviceRates),
+		random:           rand.New(rand.NewPCG(settings.Seed, xxh3.HashString(settings.Name))),
 		unsharedPartSeed: settings.Seed,
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -376,7 +376,7 @@
 // target's responses shows them.
 func TestChooseCountsRequestsReportedByTarget(t *testing.T) {
 	f := newFixture(t, 2)
-	f.choose(shortCall(), "e1").Attempt.RecordRequestCount(200)
+	f.choose(shortCall(), "e1").Attempt.RecordLoad(placer.LoadReport{Requests: 200})
 	for range 20 {
 		if choice := f.choose(shortCall()); choice.Target.ID == "e0" {
 			t.Fatal("a request went to a target that reports 200 requests")
--- a/placer/target.go
+++ b/placer/target.go
@@ -85,6 +85,7 @@
 	cached   *partCache
 
 	limit rateLimit
+	speed speed
 
 	// leavingSince is when the description first showed that the target is leaving; zero before.
 	leavingSince time.Time
@@ -112,8 +113,10 @@
 	unansweredSince time.Time
 	// answerTimeout is how long after unansweredSince an answer of the target is overdue.
 	answerTimeout time.Duration
-	// reportedRequests is the number of running and waiting requests that the target last reported.
+	// reportedRequests is the number of running and waiting requests that the target last reported, and ownAtReport that of this
+	// daemon's requests at that time.
 	reportedRequests int
+	ownAtReport      int
 	reportedAt       time.Time
 }
 
@@ -121,12 +124,21 @@
 const maxReportAge = 300 * time.Millisecond
 
 // requestCount returns the number of requests at the target: the larger of what the daemons count and what the target
-// reports, since it may also have requests of daemons whose messages were lost.
+// reports, since it may also have requests of daemons whose messages were lost. The excess over what the daemons count loses
+// weight with the age of the report.
 func (t *target) requestCount(load work, now time.Time) int {
-	if now.Sub(t.reportedAt) > maxReportAge {
+	age := now.Sub(t.reportedAt)
+	if age > maxReportAge {
 		return load.requests
 	}
-	return max(load.requests, t.reportedRequests)
+	excess := t.reportedRequests + t.localWork.requests - t.ownAtReport - load.requests
+	return load.requests + int(float64(max(excess, 0))*float64(maxReportAge-age)/float64(maxReportAge)+0.5)
+}
+
+// recordLoad records a report of the target's load.
+func (t *target) recordLoad(report LoadReport, now time.Time) {
+	t.reportedRequests, t.ownAtReport, t.reportedAt = report.Requests, t.localWork.requests, now
+	t.speed.recordReport(report.WorkPercent, now)
 }
 
 func newTarget(described Target) *target {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -156,11 +156,11 @@
 	return broken
 }
 
-// recordTargetState passes what the head of an answer reports to the placer: the number of requests at the target, its rate
+// recordTargetState passes what the head of an answer reports to the placer: the load of the target, its rate
 // limit, the version of its weights, and whether it refused the request, asks for time, is leaving or is gone.
 func (r *relayedRequest) recordTargetState(choice placer.Choice, answer Answer) {
 	if answer.Load.Reported {
-		choice.Attempt.RecordRequestCount(answer.Load.Requests())
+		choice.Attempt.RecordLoad(placer.LoadReport{Requests: answer.Load.Requests(), WorkPercent: answer.Load.WorkPercent})
 	}
 	r.rateLimit = answer.RateLimit
 	switch {
@@ -232,6 +232,9 @@
 	}
 	r.recordFirstEvent(choice)
 	r.timeToFirstEvent = time.Since(r.call.ArrivedAt)
+	if complete && response.Status < http.StatusMultipleChoices {
+		choice.Attempt.RecordAnswer()
+	}
 	if complete && response.Status >= http.StatusInternalServerError && r.reserveRetry() {
 		return failedAtTarget
 	}
