relayer: a further attempt is charged once, and refunded if no target runs it

Cause: a broken stream that waits for a target was charged with each look for one, and an attempt that a target rejected after a charge was not refunded. A request that was passed on held its cost at the first daemon while the second one acquired it. Change: what Charge took is remembered as what Acquire took, and refunded before a request is passed on.

--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -62,6 +62,7 @@
 	if !r.mayDelegate() || ctx.Err() != nil {
 		return false, nil
 	}
+	r.refundQuota() // The other daemon takes the cost from the quota.
 	answer, err := r.relayer.settings.Delegator.Send(ctx, r.service, r.delegatedCall())
 	var unsent *connector.UnsentError
 	if errors.As(err, &unsent) {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -68,6 +68,7 @@
 	response     *httptest.ResponseRecorder
 	// lastEventID and resumes make the calls take a stream up.
 	lastEventID, resumes string
+	quotas               relayer.Quotas
 }
 
 // recording records the origins of streams for a harness.
@@ -237,6 +238,7 @@
 
 func (h *harness) Refuse(rw http.ResponseWriter, refusal relayer.Refusal) {
 	rw.Header().Set("Reason", string(refusal.Reason))
+	rw.Header().Set("Retry-After", refusal.RetryAfter.String())
 	if refusal.NotRun {
 		rw.Header().Set("Not-Run", "1")
 	}
@@ -325,7 +327,7 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h}, Quotas: h.quotas,
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
--- a/relayer/quota.go
+++ b/relayer/quota.go
@@ -17,7 +17,7 @@
 	Acquire(ctx context.Context, account *cataloger.Account, amount float64) error
 	// Charge takes an amount without a check, for a further attempt of a request that may have run. It may leave a debt.
 	Charge(account *cataloger.Account, amount float64)
-	// Refund gives back what Acquire took for an attempt that no target has run.
+	// Refund gives back what Acquire or Charge took for an attempt that no target has run.
 	Refund(account *cataloger.Account, amount float64)
 }
 
@@ -36,8 +36,8 @@
 // quotaRetryAfter is the retry delay if the quota could not be asked.
 const quotaRetryAfter = 500 * time.Millisecond
 
-// acquireQuota takes the cost of the request from the quota of its account, unless an attempt that no target ran has left it. A
-// request that may have run is charged without a check, since its caller can't be told to come back.
+// acquireQuota takes the cost of the request from the quota of its account, unless an attempt that no target ran has left it, or the
+// request has waited for a target since. A request that may have run is charged without a check, since its caller can't be told to come back.
 func (r *relayedRequest) acquireQuota(ctx context.Context) *Refusal {
 	quotas := r.relayer.settings.Quotas
 	if quotas == nil || r.account == nil || !r.account.Quota.Limited() || r.charged != nil {
@@ -46,6 +46,7 @@
 	cost := r.account.Quota.Cost(r.call.Prompt.PromptTokens+r.call.Prompt.MaxOutputTokens, r.call.Prompt.TokensCounted)
 	if r.runs > 0 {
 		quotas.Charge(r.account, cost)
+		r.charged, r.chargedCost = r.account, cost
 		return nil
 	}
 	err := quotas.Acquire(ctx, r.account, cost)
