--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -71,6 +71,7 @@
 	// admission is asked for the calls' shares; nil if none is. retryAfter is that of the last refusal.
 	admission  relayer.Admission
 	retryAfter time.Duration
+	quotas     relayer.Quotas
 }
 
 // recording records the origins of streams for a harness.
@@ -246,6 +247,7 @@
 func (h *harness) Refuse(rw http.ResponseWriter, refusal relayer.Refusal) {
 	h.retryAfter = refusal.RetryAfter
 	rw.Header().Set("Reason", string(refusal.Reason))
+	rw.Header().Set("Retry-After", refusal.RetryAfter.String())
 	if refusal.NotRun {
 		rw.Header().Set("Not-Run", "1")
 	}
@@ -334,7 +336,8 @@
 // relay sends one request through a relayer.
 func (h *harness) relay(ctx context.Context, path string) (seen result) {
 	r := relayer.New(relayer.Settings{
-		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Admission: h.admission, Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
+		Configuration: h, Placer: h, Targets: h, Codec: h, RetryBudget: h, Crashes: h, Admission: h.admission, Quotas: h.quotas,
+		Tracer: h.tracer, Delegator: passingOn{h}, Origins: recording{h},
 		ContactAgeLimits: func() relayer.ContactAgeLimits {
 			return relayer.ContactAgeLimits{KeyUse: 4 * time.Second, Denial: 2 * time.Second}
 		},
