cmd/rilld: crowds of hostile clients against processes of rilld front and rilld serve

Before settleTime was added, some crowds ended before the daemon had accepted them (idle connections at ready 21 descriptors): such runs showed nothing.

--- /dev/null
+++ b/cmd/rilld/hostile_test.go
@@ -0,0 +1,295 @@
+package main_test
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
+)
+
+const (
+	// hostileMemory is the memory of the smallest host in bytes.
+	hostileMemory = 112e6
+	// hostileBody is the largest legal body of rilld front in the tests.
+	hostileBody = 4_194_304
+	// hostileDescriptors is the descriptor limit of the daemon's process, of which spareDescriptors have to stay free.
+	hostileDescriptors = 512
+	spareDescriptors   = 32
+	// hostileTime bounds what one hostile client does before it only holds its connection.
+	hostileTime = 6 * time.Second
+	// settleTime is left to the daemon to take what the crowd has sent.
+	settleTime = 500 * time.Millisecond
+	// ordinaryTries and ordinaryPause bound how often the ordinary caller comes back after a refusal.
+	ordinaryTries = 40
+	ordinaryPause = 250 * time.Millisecond
+)
+
+// hostile is one daemon as a process, its ports, and one ordinary request to it.
+type hostile struct {
+	*processes
+	// ports are the addresses by the names that hostileCase uses: callers, peers, operators, ready, metrics.
+	ports map[string]string
+	// newRequest returns an ordinary request with a body of a number of bytes.
+	newRequest func(bodyBytes int) *http.Request
+	// largestBody is the size of the largest legal body.
+	largestBody int
+	memoryBytes float64
+}
+
+// hostileClient is one client: it does what it does with its connection, which the crowd closes at the end.
+type hostileClient func(conn net.Conn, h *hostile)
+
+// hostileCase is a crowd of equal clients.
+type hostileCase struct {
+	name    string
+	port    string
+	clients int
+	play    hostileClient
+}
+
+// Guards against clients which nobody controls and whose bodies, heads, connections or unread answers end a process of rilld front, fill its memory or
+// use up its descriptors, so that no ordinary request is served any more.
+func TestHostileClientsOfFront(t *testing.T) {
+	p := newProcesses(t)
+	for _, c := range frontHostileCases {
+		t.Run(c.name, func(t *testing.T) { startHostileFront(t, p.folder).check(c) })
+	}
+}
+
+// Guards against the same for rilld serve.
+func TestHostileClientsOfServe(t *testing.T) {
+	p := newProcesses(t)
+	for _, c := range serveHostileCases {
+		t.Run(c.name, func(t *testing.T) { startHostileServe(t, p.folder).check(c) })
+	}
+}
+
+// startLimited starts a daemon with a descriptor limit below the test's own, which only a shell can set. It becomes the daemon.
+func (h *hostile) startLimited(arguments ...string) {
+	h.t.Helper()
+	script := fmt.Sprintf("ulimit -n %d && exec %s \"$@\"", hostileDescriptors, filepath.Join(h.folder, "rilld"))
+	if err := os.Symlink("/bin/sh", filepath.Join(h.folder, "sh")); err != nil && !os.IsExist(err) {
+		h.t.Fatal(err)
+	}
+	h.start("daemon", "sh", append([]string{"-c", script, "rilld"}, arguments...)...)
+}
+
+func newHostile(t *testing.T, folder string) *hostile {
+	h := &hostile{processes: &processes{t: t, folder: folder, running: make(map[string]*process)}, ports: make(map[string]string)}
+	t.Cleanup(h.close)
+	for _, port := range []string{"callers", "peers", "operators", "ready", "metrics"} {
+		h.ports[port] = freeAddress(t)
+	}
+	return h
+}
+
+// startHostileFront starts rilld front with the memory of the smallest host.
+func startHostileFront(t *testing.T, folder string) *hostile {
+	h := newHostile(t, folder)
+	h.largestBody, h.memoryBytes = hostileBody, hostileMemory
+	store := hostingemulator.NewStore()
+	if err := store.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	putHostileConfiguration(store)
+	for i, service := range []string{"engines", "services"} {
+		target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
+			ID: fmt.Sprint("target-", i), Service: service, Zone: "north", Store: store, Model: []string{"m", ""}[i], Slots: 100,
+			StreamEvents: 100, EventInterval: 20 * time.Millisecond,
+		})
+		if err := target.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = target.Close() })
+	}
+	h.newRequest = func(bodyBytes int) *http.Request {
+		request, err := frontConfiguration.NewRequest(h.ports["callers"], frontConfiguration.Routes[1], fmt.Sprint("o", ordinaryCount.Add(1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyBytes))), int64(bodyBytes)
+		return request
+	}
+	h.startLimited("front", "--config", h.write("hostile-front.jsonc", fmt.Sprintf(`{
+  "name": "front", "data_centre": "north", "callers_listen": %q, "peers_listen": %q, "operators_listen": %q, "platform": [%q],
+  "log": {"level": "warn", "format": "json"},
+  "hosted": {"ready_listen": %q, "metrics_listen": %q, "memory_bytes": %d},
+}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], store.Address(), h.ports["ready"], h.ports["metrics"], int64(hostileMemory))))
+	h.await("http://" + h.ports["ready"] + "/readyz")
+	return h
+}
+
+var ordinaryCount atomic.Int64
+
+// putHostileConfiguration declares the routes of frontConfiguration with the largest body of the deployments.
+func putHostileConfiguration(store *hostingemulator.Store) {
+	var routes []any
+	for _, route := range frontConfiguration.Routes {
+		routes = append(routes, map[string]any{
+			"name": route.Name, "host": frontConfiguration.Host, "prefix": "/" + route.Name + "/", "kind": route.Kind, "service": route.Service,
+			"timeoutMs": frontConfiguration.Timeout.Milliseconds(), "targetLatencyMs": 1000, "targetGapMs": 500, "maxAttempts": 2,
+		})
+	}
+	engine := map[string]any{"slots": 100, "kvCapacity": 1000000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": "m"}}}
+	store.Put("op/config", map[string]any{
+		"version": frontConfiguration.Version, "routes": routes,
+		"services": []any{map[string]any{"name": "services", "maxConnections": 100}, map[string]any{"name": "engines", "maxConnections": 100, "engine": engine}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": hostileBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  []any{map[string]any{"name": "account", "apiKeys": []string{frontConfiguration.Key}, "isolated": false}},
+	})
+}
+
+// check plays a crowd and checks the process during it, and an ordinary caller while the crowd still holds its connections.
+func (h *hostile) check(c hostileCase) {
+	pid := h.running["daemon"].command.Process.Pid
+	watch := watchProcess(pid, h.ports[c.port])
+	var playing, holding conc.WaitGroup
+	release := make(chan struct{})
+	for range c.clients {
+		played := make(chan struct{})
+		holding.Go(func() {
+			finish := sync.OnceFunc(func() { close(played) })
+			defer finish()
+			conn, err := net.Dial("tcp", h.ports[c.port])
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(hostileTime)) // Fails only on a closed connection.
+			c.play(conn, h)
+			finish()
+			<-release
+		})
+		playing.Go(func() { <-played })
+	}
+	playing.Wait()
+	time.Sleep(settleTime)
+	h.expectAnswer(0)
+	h.expectAnswer(h.largestBody)
+	close(release)
+	holding.Wait()
+	peak := watch.end()
+	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, unread with it at most %.0f MB), most descriptors %d", c.name,
+		peak.bytes()/1e6, peak.resident/1e6, peak.withUnread/1e6, peak.descriptors)
+	if peak.bytes() > h.memoryBytes {
+		h.t.Errorf("%.0f MB in use, the host has %.0f MB", peak.bytes()/1e6, h.memoryBytes/1e6)
+	}
+	if peak.descriptors > hostileDescriptors-spareDescriptors {
+		h.t.Errorf("%d descriptors in use, the host has %d", peak.descriptors, hostileDescriptors)
+	}
+	select {
+	case <-h.running["daemon"].done:
+		h.t.Errorf("the process ended: %s", h.running["daemon"].state)
+	default:
+	}
+}
+
+// expectAnswer sends an ordinary request until it is answered. Refusals are allowed, as to callers that come back.
+func (h *hostile) expectAnswer(bodyBytes int) {
+	client := &http.Client{Timeout: hostileTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	var last string
+	for range ordinaryTries {
+		response, err := client.Do(h.newRequest(bodyBytes))
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if last = response.Status; err == nil && response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		last = fmt.Sprint(last, " ", err)
+		time.Sleep(ordinaryPause)
+	}
+	h.t.Errorf("no answer to an ordinary request with a body of %d bytes: %s", bodyBytes, last)
+}
+
+// peak is the most that a process has used.
+type peak struct {
+	// resident is the highest resident memory, and withUnread the highest sum of that and what it had not yet read of its connections.
+	resident, withUnread float64
+	descriptors          int
+}
+
+func (p peak) bytes() float64 { return math.Max(p.resident, p.withUnread) }
+
+type processWatch struct {
+	stop chan struct{}
+	done chan peak
+}
+
+func (w processWatch) end() peak {
+	close(w.stop)
+	return <-w.done
+}
+
+// watchProcess samples what a process uses.
+func watchProcess(pid int, address string) processWatch {
+	w := processWatch{stop: make(chan struct{}), done: make(chan peak)}
+	go func() {
+		var most peak
+		for {
+			most.resident = math.Max(most.resident, statusBytes(pid, "VmHWM:"))
+			most.withUnread = math.Max(most.withUnread, statusBytes(pid, "VmRSS:")+unreadBytes(address))
+			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // None of a process that has ended.
+			most.descriptors = max(most.descriptors, len(open))
+			select {
+			case <-w.stop:
+				w.done <- most
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return w
+}
+
+// statusBytes returns a figure of a process in bytes, or zero if it has ended.
+func statusBytes(pid int, field string) float64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, found := strings.CutPrefix(line, field); found {
+			kibibytes, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kibibytes * 1024
+		}
+	}
+	return 0
+}
+
+// unreadBytes returns what has arrived at a listening address and was not read yet.
+func unreadBytes(address string) (sum float64) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	suffix := fmt.Sprintf(":%04X", netip.MustParseAddrPort(address).Port())
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], suffix) {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[4], ":")
+		const listening = "0A"
+		if unread, err := strconv.ParseUint(received, 16, 64); err == nil && fields[3] != listening {
+			sum += float64(unread)
+		}
+	}
+	return sum
+}
