reserver, drainer, assembler, server, delegator, runner: one bound on what open requests hold together

Cause: a body was read with io.ReadAll up to its own limit, and nothing bounded all bodies, messages of other daemons, heads and connections together. Unread bodies over the limit grew the receive buffers.

A reserver.Memory is half of what the process has beyond 40 MB: a fifth for incomplete answers, the rest for bodies and messages. A request takes its share before its body is read (Content-Length, else steps), else it is refused with 503 no_memory and Retry-After. 1/8 is for requests up to 64 KiB; an account gets three quarters of the rest. While there is no room, a request that has stopped arriving loses its place. Connections to each port are bounded below the descriptor limit; the one that has waited longest for a request makes room. Long heads take memory. A refused caller is read for half a second, then its connection ends. A piece of an answer has to be read within 30 s. The body of an answered plain request is released before a slow reader has its answer. Chunked bodies to targets are no longer copied.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -26,6 +26,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/drainer"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/limiter"
 	"github.com/rosemaryrill/rosemaryrill/loader"
@@ -72,9 +73,6 @@
 	keyRevocationMargin = 600 * time.Millisecond
 	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the process memory.
 	memoryLimitRatio = 0.6
-	// answerMemoryRatio is the memory for incomplete answers of targets as a fraction of the process memory. Buffers that grow
-	// take a multiple of what they hold until the garbage is collected.
-	answerMemoryRatio = 1.0 / 16
 	// gcPercent is lower than Go's default of 100, which saves memory at the cost of CPU time.
 	gcPercent = 50
 	// presenceTTL is how long the entry of a daemon remains after its last renewal. Nothing depends on
@@ -114,8 +112,9 @@
 	logger    *slog.Logger
 	store     *platform.Store
 	connector *connector.Connector
-	// memory is that for incomplete answers of targets.
-	memory       *reserver.Budget
+	// memory is that for requests, and connections bound those to the ports.
+	memory       *reserver.Memory
+	connections  reserver.Connections
 	view         *deploymentView
 	coordination coordination
 	edge         *edge
@@ -146,11 +145,11 @@
 		settings:  settings,
 		logWriter: observer.NewAsyncWriter(settings.LogOutput),
 		store:     platform.NewStore(settings.Platform[0]),
-		memory:    reserver.NewBudget(int(answerMemoryRatio * settings.Hosted.MemoryBytes)),
+		memory:    reserver.NewMemory(reserver.RequestBytes(settings.Hosted.MemoryBytes)), connections: reserver.NewConnections(settings.Hosted.MemoryBytes),
 		startTime: time.Now(),
 		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
-	d.connector = connector.New(connector.Settings{Memory: d.memory, OnSocket: settings.OnTargetSocket})
+	d.connector = connector.New(connector.Settings{Memory: d.memory.Answers(), OnSocket: settings.OnTargetSocket})
 	d.hosted.Store(&settings.Hosted)
 	if err := d.createObserver(ctx); err != nil {
 		return nil, err
@@ -175,7 +174,7 @@
 	d.delegation = d.newDelegation()
 	d.createFollowers()
 	d.edge = d.newEdge()
-	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler); err != nil {
+	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler, drainer.Settings{MaxConnections: d.connections.Peers, WriteTimeout: answerTimeout}); err != nil {
 		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
 	if err := d.registerGauges(); err != nil {
@@ -279,7 +278,7 @@
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
 	return relayer.New(relayer.Settings{
-		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory,
+		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation, Crashes: view.attributor, Memory: d.memory.Answers(),
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -51,7 +51,7 @@
 }
 
 func (d *Daemon) engineClient() platform.EngineClient {
-	return platform.EngineClient{Connector: d.connector, Observer: d.view.placer, Memory: d.memory}
+	return platform.EngineClient{Connector: d.connector, Observer: d.view.placer, Memory: d.memory.Answers()}
 }
 
 // applyTargets passes the targets to the placer and the engines among them to the poller.
--- a/assembler/delegation.go
+++ b/assembler/delegation.go
@@ -42,7 +42,7 @@
 			},
 		}),
 		handler: delegator.NewHandler(delegator.HandlerSettings{
-			MaxOpen: maxDelegated, Now: time.Now,
+			MaxOpen: maxDelegated, Memory: d.memory, Now: time.Now,
 			Serve: func(ctx context.Context, w http.ResponseWriter, request delegator.Request) {
 				d.edge.serveDelegated(ctx, w, request)
 			},
--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +49,8 @@
 	readinessServer *http.Server
 	metricsServer   *http.Server
 	drainer         *drainer.Drainer
+	// probes and scrapes track the connections of the ports for readiness probes and for metrics.
+	probes, scrapes *drainer.Drainer
 	group           conc.WaitGroup
 	cancel          context.CancelFunc
 	// refuseNew is set when the daemon starts to refuse new requests.
@@ -65,11 +65,14 @@
 	}
 	e.drainer = drainer.New(e.callerServer, drainer.Settings{
 		AbortCause: relayer.ErrStopping, KeepAlive: keepAliveTimeout, Logger: d.loggerFor("drainer"),
+		MaxConnections: d.connections.Callers, Heads: d.memory, WriteTimeout: answerTimeout,
 	})
 	probes := httprouter.New()
 	probes.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { e.serveReady(w) })
-	e.readinessServer = &http.Server{Handler: probes, ReadHeaderTimeout: headerTimeout}
-	e.metricsServer = &http.Server{Handler: d.observer.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
+	e.readinessServer = &http.Server{Handler: probes, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	e.metricsServer = &http.Server{Handler: d.observer.MetricsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	internal := drainer.Settings{MaxConnections: d.connections.Internal, WriteTimeout: answerTimeout}
+	e.probes, e.scrapes = drainer.New(e.readinessServer, internal), drainer.New(e.metricsServer, internal)
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
 	e.group.Go(func() { supervisor.Run(ctx, d.logger, "close idle", e.closeIdle) })
@@ -79,13 +82,13 @@
 // start opens the ports. It opens the one for callers last, so that no request arrives at a daemon that fails to start.
 func (e *edge) start() error {
 	settings := e.daemon.settings
-	if err := e.serveOn(e.readinessServer, settings.Hosted.ReadyListen); err != nil {
+	if err := e.serveOn(e.readinessServer, e.probes, settings.Hosted.ReadyListen); err != nil {
 		return err
 	}
-	if err := e.serveOn(e.metricsServer, settings.Hosted.MetricsListen); err != nil {
+	if err := e.serveOn(e.metricsServer, e.scrapes, settings.Hosted.MetricsListen); err != nil {
 		return err
 	}
-	return e.serveOn(e.callerServer, settings.CallersListen)
+	return e.serveOn(e.callerServer, e.drainer, settings.CallersListen)
 }
 
 // closeIdle closes callers' connections that exceed the idle timeout of the current configuration.
@@ -98,14 +101,12 @@
 }
 
 // serveOn opens a port for the server.
-func (e *edge) serveOn(server *http.Server, address netip.AddrPort) error {
+func (e *edge) serveOn(server *http.Server, connections *drainer.Drainer, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
-	if server == e.callerServer {
-		listener = e.drainer.Track(listener)
-	}
+	listener = connections.Track(listener)
 	e.group.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			e.daemon.logger.Error("HTTP server failed", "address", address, "error", err)
@@ -136,9 +137,11 @@
 		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Reason: relayer.ReasonHeaderTooLarge, NotRun: true})
 		return
 	}
-	body, err := platform.ReadBody(w, r, e.maxBodyBytes())
+	body, share, err := e.readBody(w, r)
+	defer share.Release()
 	if err != nil {
-		e.refuseBody(w, err)
+		share.Release() // Nothing is kept while the refusal is read.
+		e.refuseBody(w, r, err)
 		return
 	}
 	if e.refuseNew.Load() { // The body took its time. What is sent on now may be cut at the end of the stop.
@@ -151,6 +154,7 @@
 		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true})
 		return
 	}
+	call.ReleaseBody = share.Release
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	e.relayer.Relay(ctx, w, call)
 }
@@ -174,36 +178,6 @@
 // header.
 const headerSeparatorBytes = 4
 
-func (e *edge) maxBodyBytes() int64 {
-	if catalog := e.daemon.view.Catalog(); catalog != nil && catalog.Limits().MaxBodyBytes > 0 {
-		return int64(catalog.Limits().MaxBodyBytes)
-	}
-	return defaultMaxBodyBytes
-}
-
-func (e *edge) refuseBody(w http.ResponseWriter, err error) {
-	e.daemon.logger.Info("failed to read the request body", "error", err)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusRequestEntityTooLarge, Reason: relayer.ReasonTooLarge, NotRun: true})
-		return
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		platform.Codec{}.Refuse(w, relayer.Stopping()) // Drain has ended the reading of the body.
-		return
-	}
-	if isConnectionError(err) {
-		panic(http.ErrAbortHandler) // The caller disconnected before the end of the body.
-	}
-	platform.Codec{}.Refuse(w, relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true, CloseConnection: true})
-}
-
-// isConnectionError reports whether a body could not be read because its connection ended.
-func isConnectionError(err error) bool {
-	var networkError net.Error
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &networkError)
-}
-
 // drain waits until the load balancer sends no more requests, and then until all requests are answered and all
 // connections closed. Shortly before stopAt it cancels the requests that are still open.
 func (e *edge) drain(stopAt time.Time) {
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/delegator"
+	"github.com/rosemaryrill/rosemaryrill/drainer"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/recorder"
@@ -21,6 +22,9 @@
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
+// maxSmallMessageBytes limits the messages of other daemons that carry no request.
+const maxSmallMessageBytes = 64 << 10
+
 // sharedStore lets the daemons of a data centre read the store through each other.
 type sharedStore struct {
 	self   repeater.Daemon
@@ -75,16 +79,20 @@
 }
 
 // listen serves the copies and the origins of streams to the other daemons, and takes the requests that they pass on.
-func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins, delegated *delegator.Handler) error {
+func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins, delegated *delegator.Handler, connections drainer.Settings) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(repeater.NewHandler(s.copies))
-	mux.Handle(recorder.NewHandler(origins))
+	handleSmall := func(path string, handler http.Handler) {
+		mux.Handle(path, http.MaxBytesHandler(handler, maxSmallMessageBytes))
+	}
+	handleSmall(repeater.NewHandler(s.copies))
+	handleSmall(recorder.NewHandler(origins))
 	mux.Handle(delegated.HTTP())
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxInternalHeaderBytes}
+	listener = drainer.New(s.server, connections).Track(listener)
 	s.group.Go(func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.logger.Error("HTTP server failed", "address", address, "error", err)
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -106,7 +106,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = store.Close() })
-	putHostileConfiguration(store)
+	configuration := frontConfiguration
+	configuration.MaxBodyBytes = hostileBody
+	store.PutConfiguration(configuration)
 	for i, service := range []string{"engines", "services"} {
 		target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
 			ID: fmt.Sprint("target-", i), Service: service, Zone: "north", Store: store, Model: []string{"m", ""}[i], Slots: 100,
@@ -136,24 +138,6 @@
 
 var ordinaryCount atomic.Int64
 
-// putHostileConfiguration declares the routes of frontConfiguration with the largest body of the deployments.
-func putHostileConfiguration(store *hostingemulator.Store) {
-	var routes []any
-	for _, route := range frontConfiguration.Routes {
-		routes = append(routes, map[string]any{
-			"name": route.Name, "host": frontConfiguration.Host, "prefix": "/" + route.Name + "/", "kind": route.Kind, "service": route.Service,
-			"timeoutMs": frontConfiguration.Timeout.Milliseconds(), "targetLatencyMs": 1000, "targetGapMs": 500, "maxAttempts": 2,
-		})
-	}
-	engine := map[string]any{"slots": 100, "kvCapacity": 1000000, "kvTokenBytes": 1000, "linkMbps": 1000, "models": []any{map[string]any{"name": "m"}}}
-	store.Put("op/config", map[string]any{
-		"version": frontConfiguration.Version, "routes": routes,
-		"services": []any{map[string]any{"name": "services", "maxConnections": 100}, map[string]any{"name": "engines", "maxConnections": 100, "engine": engine}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": hostileBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "account", "apiKeys": []string{frontConfiguration.Key}, "isolated": false}},
-	})
-}
-
 // check plays a crowd and checks the process during it, and an ordinary caller while the crowd still holds its connections.
 func (h *hostile) check(c hostileCase) {
 	pid := h.running["daemon"].command.Process.Pid
--- a/cmd/rilld/serve.go
+++ b/cmd/rilld/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -14,6 +15,9 @@
 	"github.com/rosemaryrill/rosemaryrill/runner"
 )
 
+// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the memory of the process.
+const memoryLimitRatio = 0.75
+
 func configFlag() cli.Flag {
 	return &cli.StringFlag{Name: "config", Usage: "settings file, in JSON with comments", Required: true}
 }
@@ -37,6 +41,7 @@
 	if err != nil {
 		return printFaults(err)
 	}
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.Limits.MemoryBytes)))
 	daemonSettings := runner.Settings{Settings: settings}
 	if command.Bool("log") {
 		daemonSettings.LogOutput = os.Stderr
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -321,10 +321,10 @@
 
 // write sends the request. A request with a large body is written in a goroutine, so that the caller can read
 // the response meanwhile.
-func (c *connection) write(head, body []byte) *upload {
+func (c *connection) write(head, body, tail []byte) *upload {
 	u := newUpload()
 	if len(body) <= maxInlineBytes {
-		_, err := c.Write(append(head, body...))
+		_, err := c.Write(append(append(head, body...), tail...))
 		u.result <- err
 		return u
 	}
@@ -335,6 +335,9 @@
 		if err == nil {
 			_, err = c.Write(body)
 		}
+		if err == nil && len(tail) > 0 {
+			_, err = c.Write(tail)
+		}
 		watch.setWritten()
 		u.result <- err
 	}()
@@ -388,8 +391,8 @@
 	return request.MatchesResponse == nil || request.MatchesResponse(header)
 }
 
-// encode returns the wire format of the request.
-func (r Request) encode() (head, body []byte) {
+// encode returns the wire format of the request. The body is not copied.
+func (r Request) encode() (head, body, tail []byte) {
 	var b strings.Builder
 	b.Grow(1 << 10)
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -402,9 +405,9 @@
 	_ = r.Header.Write(&b) // Writing to a strings.Builder does not fail.
 	b.WriteString("\r\n")
 	if r.Chunked && len(r.Body) > 0 {
-		return []byte(b.String()), []byte(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(r.Body), r.Body))
+		return fmt.Appendf(nil, "%s%x\r\n", b.String(), len(r.Body)), r.Body, []byte("\r\n0\r\n\r\n")
 	}
-	return []byte(b.String()), r.Body
+	return []byte(b.String()), r.Body, nil
 }
 
 // parseIdleTimeout returns the timeout in the Keep-Alive header minus idleMargin, or the fallback if the header contains
--- a/connector/upload.go
+++ b/connector/upload.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// RequestSent reports whether the whole request was written, so that nothing refers to its body any more.
+func (r *Response) RequestSent() bool { return r.upload != nil && r.upload.succeeded() }
+
 // verifyEnd returns an error if the end of the connection, at which the body ends, does not show that the body is whole. A target that
 // has read the whole request has acknowledged all of it before it ends the connection.
 func (r *Response) verifyEnd() error {
--- a/delegator/handler.go
+++ b/delegator/handler.go
@@ -11,6 +11,7 @@
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/proto/hosting/v1/hostingv1connect"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // maxMessageBytes bounds a request with its body.
@@ -34,7 +35,9 @@
 	Serve func(ctx context.Context, w http.ResponseWriter, request Request)
 	// MaxOpen bounds the requests of other daemons that are open at once, so that room is left for the own callers.
 	MaxOpen int
-	Now     func() time.Time
+	// Memory bounds the memory of the requests. Default: no bound.
+	Memory *reserver.Memory
+	Now    func() time.Time
 }
 
 // Handler serves the requests that other daemons pass on.
@@ -55,7 +58,9 @@
 
 // HTTP returns the path and the handler that serve the requests.
 func (h *Handler) HTTP() (path string, served http.Handler) {
-	return hostingv1connect.NewRelayServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes))
+	// Without compression, the length of a message tells how much memory it needs. Daemons send none that is compressed.
+	path, relay := hostingv1connect.NewRelayServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
+	return path, h.bounded(relay)
 }
 
 // answerTime is how long Drain waits for the answers to cancelled requests.
@@ -115,6 +120,10 @@
 // Relay handles a request of another daemon.
 func (h *Handler) Relay(ctx context.Context, request *connect.Request[hostingv1.RelayRequest], stream *connect.ServerStream[hostingv1.RelayResponse]) error {
 	w := &responseWriter{stream: stream, header: make(http.Header)}
+	if refusal := complete(ctx, len(request.Msg.GetBody())); refusal != nil {
+		w.WriteRefusal(*refusal)
+		return w.err
+	}
 	ctx, end, refusal := h.begin(ctx)
 	if refusal != nil {
 		w.WriteRefusal(*refusal)
--- a/drainer/answer.go
+++ b/drainer/answer.go
@@ -82,18 +82,38 @@
 	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
 		a.announce()
 	}
+	a.limitWrite()
 	a.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
-func (a *answer) Write(p []byte) (int, error) {
+func (a *answer) Write(p []byte) (written int, err error) {
 	a.announce()
-	return a.ResponseWriter.Write(p)
+	if a.drainer.settings.WriteTimeout == 0 {
+		return a.ResponseWriter.Write(p)
+	}
+	for {
+		a.limitWrite()
+		n, err := a.ResponseWriter.Write(p[:min(len(p), writtenAtOnce)])
+		written += n
+		p = p[n:]
+		if err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
+}
+
+// limitWrite sets the time by which the caller has to have read what is written next.
+func (a *answer) limitWrite() {
+	if timeout := a.drainer.settings.WriteTimeout; timeout > 0 {
+		_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Now().Add(timeout)) // Writers of tests have none.
+	}
 }
 
 // FlushError implements the interface of http.ResponseController.
 func (a *answer) FlushError() error {
 	a.announce()
+	a.limitWrite()
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -54,6 +54,9 @@
 	ending bool
 	// readDeadline is the read deadline that the server has set.
 	readDeadline time.Time
+	// headBytes is what has arrived of the current head, and headTaken the memory that was taken for it.
+	headBytes int
+	headTaken int
 }
 
 func (d *Drainer) add(conn net.Conn) *connection {
@@ -75,8 +78,7 @@
 		}
 	}
 	if n > 0 {
-		c.received()
-		return n, nil
+		return n, c.received(n)
 	}
 	return n, err
 }
@@ -118,14 +120,17 @@
 	return c.ending
 }
 
-// received records that bytes have arrived. They begin a request if none is being served.
-func (c *connection) received() {
+// received records that bytes have arrived. They begin a request if none is being served. The error is one of the connection if there is no
+// memory for the rest of a head.
+func (c *connection) received(bytes int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
 	if c.state != stateServing && c.state != stateEnding {
 		c.state, c.since = stateReceiving, time.Now()
+		return c.takeHead(bytes)
 	}
+	return nil
 }
 
 // keep revokes an end that Read has not carried out. The caller holds mu.
@@ -159,6 +164,9 @@
 		c.drainer.mu.Lock()
 		delete(c.drainer.connections, c)
 		c.drainer.mu.Unlock()
+		c.mu.Lock()
+		c.giveHeadBack()
+		c.mu.Unlock()
 		c.drainer.signal()
 	})
 	return c.closeErr
@@ -181,6 +189,7 @@
 		c.multiplexed = multiplexed
 		c.state, c.since = stateServing, time.Now()
 	case http.StateIdle:
+		c.giveHeadBack()
 		c.state, c.since = stateIdle, time.Now()
 		c.idleTimeout = time.Duration(c.drainer.idleTimeout.Load())
 		c.drainer.signal()
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -53,10 +53,23 @@
 	// the idle timeout. Answers announce it, in whole seconds. Drain closes an idle connection only after this time, so if it is
 	// shorter than the time between Leave and Drain, no request meets the close. Default: none is announced.
 	KeepAlive time.Duration
+	// MaxConnections bounds the connections that are open at once. When it comes near, those that wait longest for a request make room for new
+	// ones; beyond it, new ones are closed. Default: no bound.
+	MaxConnections int
+	// Heads is the memory for heads of requests that are long. Default: no bound.
+	Heads HeadMemory
+	// WriteTimeout is how long a caller may leave a piece of its answer unread. Default: no bound.
+	WriteTimeout time.Duration
 	// Logger receives a line for each drain, and one for each connection that was cut during a request. Default: none.
 	Logger *slog.Logger
 }
 
+// HeadMemory is the memory for long heads. Its methods must not block.
+type HeadMemory interface {
+	TryTake(bytes int) bool
+	GiveBack(bytes int)
+}
+
 // Drainer tracks the connections of one http.Server. Its methods are safe for concurrent use.
 type Drainer struct {
 	settings Settings
@@ -64,6 +77,10 @@
 	cancel   context.CancelCauseFunc
 	leaving  atomic.Bool
 	draining atomic.Bool
+	// lingering counts the calls of Linger that read.
+	lingering atomic.Int64
+	// refused counts the connections that were closed since there were too many, and displaced those that made room.
+	refused, displaced atomic.Int64
 	// idleTimeout is the timeout of the last call of CloseIdle.
 	idleTimeout atomic.Int64
 	// changed is signalled when a connection becomes idle or closed while the server drains, and when it has stopped
--- a/drainer/listener.go
+++ b/drainer/listener.go
@@ -43,7 +43,10 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil {
-			return l.drainer.add(conn), nil
+			if c := l.drainer.admit(conn); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/hostingemulator/configuration.go
+++ b/hostingemulator/configuration.go
@@ -1,6 +1,7 @@
 package hostingemulator
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,9 +24,13 @@
 	Model   string
 	// Timeout is the timeout of all routes.
 	Timeout time.Duration
-	Routes  []Route
+	// MaxBodyBytes is the largest body of a request. Default: defaultMaxBodyBytes.
+	MaxBodyBytes int
+	Routes       []Route
 }
 
+const defaultMaxBodyBytes = 1 << 20
+
 // PutConfiguration writes the configuration to the store.
 func (s *Store) PutConfiguration(c Configuration) {
 	var routes, services []any
@@ -48,7 +53,7 @@
 	}
 	s.Put("op/config", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": cmp.Or(c.MaxBodyBytes, defaultMaxBodyBytes), "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "account", "apiKeys": []string{c.Key}, "isolated": false}},
 	})
 }
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -72,6 +72,8 @@
 
 func limitFields() []field {
 	return []field{
+		bytesField("memory_bytes", "Memory available to the process of rilld serve, in bytes. About half of it is for the bodies and answers of open requests; a request for which there is none is refused with no_memory.",
+			func(s *Settings) *int { return &s.Limits.MemoryBytes }),
 		bytesField("max_body_bytes", "Largest body of a request.",
 			func(s *Settings) *int { return &s.Limits.MaxBodyBytes }),
 		bytesField("max_header_bytes", "Largest header of a request.",
@@ -133,7 +135,7 @@
 			func(s *Settings) *netip.AddrPort { return &s.Hosted.ReadyListen }),
 		addressField("metrics_listen", "Address that serves /metrics.",
 			func(s *Settings) *netip.AddrPort { return &s.Hosted.MetricsListen }),
-		boundField("memory_bytes", "Memory available to the process, in bytes.",
+		boundField("memory_bytes", "Memory available to the process of rilld front, in bytes. About half of it is for the bodies and answers of open requests.",
 			func(s *Settings) *float64 { return &s.Hosted.MemoryBytes }),
 		boundField("link_megabits", "Bandwidth of the host's link in Mbit/s; 0 if it is not known. The daemons with the largest links of a data centre combine and read for the others.",
 			func(s *Settings) *float64 { return &s.Hosted.LinkMegabits }),
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -89,6 +89,8 @@
 // Limits bound the requests of callers, the number of requests that the daemon serves or queues
 // at once, and the number of engines that load weights at once.
 type Limits struct {
+	// MemoryBytes is the memory that is available to the process.
+	MemoryBytes    int
 	MaxBodyBytes   int
 	MaxHeaderBytes int
 	HeaderTimeout  time.Duration
@@ -164,6 +166,7 @@
 		PeersListen:     netip.MustParseAddrPort("0.0.0.0:8081"),
 		OperatorsListen: netip.MustParseAddrPort("127.0.0.1:8082"),
 		Limits: Limits{
+			MemoryBytes:     1 << 30,
 			MaxBodyBytes:    16 << 20,
 			MaxHeaderBytes:  64 << 10,
 			HeaderTimeout:   10 * time.Second,
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -48,6 +48,7 @@
 	CodeHeaderTooLarge        Code = "header_too_large"
 	CodeLimitReached          Code = "limit_reached"
 	CodeOverloaded            Code = "overloaded"
+	CodeNoMemory              Code = "no_memory"
 	CodeDeadlineExceeded      Code = "deadline_exceeded"
 	CodeQuarantined           Code = "quarantined"
 	CodeNoTarget              Code = "no_target"
@@ -81,6 +82,7 @@
 	CodeHeaderTooLarge:        http.StatusRequestHeaderFieldsTooLarge,
 	CodeLimitReached:          http.StatusTooManyRequests,
 	CodeOverloaded:            http.StatusServiceUnavailable,
+	CodeNoMemory:              http.StatusServiceUnavailable,
 	CodeDeadlineExceeded:      http.StatusGatewayTimeout,
 	CodeQuarantined:           http.StatusUnprocessableEntity,
 	CodeNoTarget:              http.StatusServiceUnavailable,
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -236,6 +236,7 @@
 		return failedAtTarget
 	}
 	r.writeHead(response)
+	r.releaseBody(response)
 	if _, err := r.writer.Write(buffer.Bytes()); err != nil {
 		return r.abortOnWriteError(err)
 	}
@@ -251,6 +252,15 @@
 	return answered
 }
 
+// releaseBody gives up the body of a request whose answer is forwarded and can't be repeated, since a caller that reads slowly may keep the
+// answer open for long. One that is still being sent to the target is kept.
+func (r *relayedRequest) releaseBody(response *connector.Response) {
+	if r.call.ReleaseBody != nil && response.RequestSent() {
+		r.call.Body = nil
+		r.call.ReleaseBody()
+	}
+}
+
 // reserveRetry reports whether a request that failed at the target may be sent to another target, and
 // withdraws from the retry budget if so. If it returns false, forwardPlain forwards the failure to the caller.
 func (r *relayedRequest) reserveRetry() bool {
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -31,6 +31,10 @@
 	ReasonQuota Reason = "quota"
 	// ReasonBusy: the daemon has too many requests that other daemons passed on to it.
 	ReasonBusy Reason = "busy"
+	// ReasonNoMemory: the daemon has no memory for the request.
+	ReasonNoMemory Reason = "no_memory"
+	// ReasonBodyTimeout: the body of the request did not arrive in time.
+	ReasonBodyTimeout Reason = "body_timeout"
 	// ReasonUnknownOrigin: the caller takes a stream up again, and it is not known which version of the targets' software began it.
 	ReasonUnknownOrigin Reason = "unknown_origin"
 	// ReasonCrashesTargets: targets crashed while they ran this request before. See CrashAttributor.
@@ -93,6 +97,9 @@
 // Busy returns the refusal of a request of another daemon for which there is no room.
 func Busy() Refusal { return *unavailableHere(ReasonBusy, contactRetryAfter) }
 
+// NoMemory returns the refusal of a request for which the daemon has no memory.
+func NoMemory(retryAfter time.Duration) Refusal { return *unavailableHere(ReasonNoMemory, retryAfter) }
+
 // Local reports whether the refusal concerns only the daemon that refuses, so that another one may serve the request.
 func (r Refusal) Local() bool { return r.CloseConnection || r.Reason == ReasonUnreachable }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -54,6 +54,8 @@
 	ArrivedAt   time.Time
 	// Delegated is set if another daemon, which reaches no target, passed the call on.
 	Delegated bool
+	// ReleaseBody, if set, is called once no attempt can need the body any more, at the end of the call at the latest.
+	ReleaseBody func()
 }
 
 // Prompt describes the prompt of a model call.
--- /dev/null
+++ b/reserver/handler.go
@@ -0,0 +1,74 @@
+package reserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// messageCopies is how often a message is held while it is received and decoded: the buffer, which doubles as it grows, and the message.
+const messageCopies = 3
+
+// messageReader counts what is read of a message that is decoded from its body.
+type messageReader struct {
+	io.ReadCloser
+	ctx   context.Context
+	share *Share
+	// reserved is how much of the body has been acquired.
+	reserved int64
+	read     int64
+}
+
+// Read implements io.Reader. A body without a known length is reserved in steps.
+func (r *messageReader) Read(p []byte) (n int, err error) {
+	if r.read >= r.reserved {
+		step := max(r.reserved, firstStepBytes)
+		if err := r.share.Grow(r.ctx, messageCopies*int(step)); err != nil {
+			return 0, err
+		}
+		r.reserved += step
+	}
+	n, err = r.ReadCloser.Read(p[:min(int64(len(p)), r.reserved-r.read)])
+	r.read += int64(n)
+	r.share.Received(n)
+	return n, err
+}
+
+// AcquireMessage takes memory for a message that is the body of a request, and makes the request's body count as it is read.
+func (m *Memory) AcquireMessage(w http.ResponseWriter, r *http.Request, account string) (share *Share, err error) {
+	if m == nil || r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	reserved := max(r.ContentLength, firstStepBytes)
+	control := http.NewResponseController(w)
+	share, err = m.Acquire(r.Context(), Claim{
+		Account: account, Bytes: messageCopies * int(min(reserved, math.MaxInt32)),
+		Interrupt: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only if the connection is closed.
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.Body = &messageReader{ReadCloser: r.Body, ctx: r.Context(), share: share, reserved: reserved}
+	return share, nil
+}
+
+// Handler returns a handler of messages that takes memory for each before it is read, and refuses it with status 503 if there is none. Its
+// answers are sent when the message has arrived.
+func (m *Memory) Handler(next http.Handler, account string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		share, err := m.AcquireMessage(w, r, account)
+		var full *FullError
+		if errors.As(err, &full) {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(full.RetryAfter.Seconds()), 'f', 0, 64))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer share.Release()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -1,9 +1,22 @@
-// Package reserver bounds the memory that incomplete answers of targets occupy together. Targets in trouble may send bytes
-// without end, in many answers at once, so limits of single answers don't bound it.
+// Package reserver bounds the memory that requests and incomplete answers of targets occupy together. Clients which nobody controls may
+// send many large bodies at once, and targets in trouble bytes without end, so limits of single bodies and answers don't bound it.
+//
+// A request takes a Share before its body is read, and is refused if there is no room. While there is none, requests that have stopped
+// arriving lose their place. One that has arrived whole keeps it. A part is kept for small requests, and no account gets all of the rest.
 //
 // # Usage
 //
-//	budget := reserver.NewBudget(64 << 20)
+//	memory := reserver.NewMemory(64 << 20)
+//	share, err := memory.Acquire(ctx, reserver.Claim{Account: name, Bytes: reserver.FirstBytes(length), Interrupt: interrupt})
+//	if err != nil {
+//		return err // A reserver.FullError; nothing was read.
+//	}
+//	defer share.Release()
+//	content, err := reserver.Body{Reader: body, Length: length, Share: share}.ReadAll(ctx)
+//
+// An answer counts as it is read:
+//
+//	budget := memory.Answers()
 //	body := budget.Reader(response.Body)
 //	n, err := body.Read(buffer) // A reserver.ExceededError if the budget is used up.
 //	body.Hold(0)                // What was read is no longer held.
@@ -21,16 +34,25 @@
 
 // Budget is the memory for incomplete answers. Its methods are safe for concurrent use. A nil Budget has no bound.
 type Budget struct {
-	left atomic.Int64
+	bytes int64
+	left  atomic.Int64
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(bytes int) *Budget {
-	b := &Budget{}
+	b := &Budget{bytes: int64(bytes)}
 	b.left.Store(int64(bytes))
 	return b
 }
 
+// Held returns the number of bytes that are reserved.
+func (b *Budget) Held() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.bytes - b.left.Load()
+}
+
 // ExceededError is returned if an answer would exceed a Budget.
 type ExceededError struct {
 	// Held is the number of bytes of the answer that are held.
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -32,7 +32,7 @@
 	})
 	mux := http.NewServeMux()
 	mux.Handle(service.Handler())
-	d.operatorsPort = d.newInternalPort(mux)
+	d.operatorsPort = d.newInternalPort(mux, "operators", d.connections.Internal)
 	d.group.Go(func() { d.logServeError("operators' port", d.operatorsPort.serve(d.operatorsListener, d.callersTLS)) })
 }
 
--- a/runner/port.go
+++ b/runner/port.go
@@ -21,14 +21,16 @@
 	drainer *drainer.Drainer
 }
 
-func (d *Daemon) newInternalPort(handler http.Handler) internalPort {
+// newInternalPort returns a port whose messages take memory on an account of their own.
+func (d *Daemon) newInternalPort(handler http.Handler, account string, maxConnections int) internalPort {
 	log := d.observer.Log("runner")
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           d.memory.Handler(handler, account),
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	return internalPort{server: server, drainer: drainer.New(server, drainer.Settings{AbortCause: errStopping, Logger: log})}
+	return internalPort{server: server, drainer: drainer.New(server, drainer.Settings{AbortCause: errStopping, Logger: log, MaxConnections: maxConnections})}
 }
 
 func (p internalPort) serve(listener net.Listener, encryption portTLS) error {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -44,6 +44,7 @@
 	"github.com/rosemaryrill/rosemaryrill/quarantiner"
 	"github.com/rosemaryrill/rosemaryrill/registrar"
 	"github.com/rosemaryrill/rosemaryrill/reporter"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/server"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 	"github.com/rosemaryrill/rosemaryrill/streamer"
@@ -69,6 +70,10 @@
 	observer *observer.Observer
 	store    *storer.Client
 
+	// memory is that for requests, and connections bound those to the ports.
+	memory      *reserver.Memory
+	connections reserver.Connections
+
 	ports
 	membership
 	deploymentState
@@ -147,6 +152,8 @@
 func New(ctx context.Context, settings Settings) (daemon *Daemon, err error) {
 	defer Error.WrapP(&err)
 	d := &Daemon{settings: settings, stop: make(chan struct{})}
+	memoryBytes := float64(settings.Limits.MemoryBytes)
+	d.memory, d.connections = reserver.NewMemory(reserver.RequestBytes(memoryBytes)), reserver.NewConnections(memoryBytes)
 	d.warmUpTracker = newWarmUpTracker()
 	d.observationExporter = &observationExporter{daemon: d}
 	d.assignment = newAssignmentCache(func(target string) bool {
@@ -382,6 +389,8 @@
 		Log:             d.observer.Log("server"),
 		MaxBodyBytes:    int64(d.settings.Limits.MaxBodyBytes),
 		MaxHeaderBytes:  d.settings.Limits.MaxHeaderBytes,
+		Memory:          d.memory,
+		MaxConnections:  d.connections.Callers,
 		HeaderTimeout:   d.settings.Limits.HeaderTimeout,
 		BodyTimeout:     d.settings.Limits.BodyTimeout,
 		DefaultDeadline: d.settings.Limits.DefaultDeadline,
@@ -418,7 +427,7 @@
 		RecordCopies:  receivedCopiesAdapter{holder: d.receivedCopies},
 		Topics:        map[string]exchanger.TopicHandler{topicQuarantine: d.quarantine},
 	}))
-	d.peersPort = d.newInternalPort(mux)
+	d.peersPort = d.newInternalPort(mux, "other daemons", d.connections.Peers)
 	d.group.Go(func() { d.logServeError("peers' port", d.peersPort.serve(d.peersListener, d.peersTLS)) })
 }
 
--- a/runner/targets.go
+++ b/runner/targets.go
@@ -23,7 +23,7 @@
 )
 
 func (d *Daemon) startTargets(context.Context) error {
-	d.targetClient = forwarder.New(forwarder.Settings{ByteCounter: d.byteCounter("targets")})
+	d.targetClient = forwarder.New(forwarder.Settings{ByteCounter: d.byteCounter("targets"), Memory: d.memory.Answers()})
 	d.detector = detector.New(detector.Settings{
 		Poller:     loadPoller{daemon: d},
 		ShouldPoll: d.assigned,
--- a/server/chat.go
+++ b/server/chat.go
@@ -13,6 +13,7 @@
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 	"github.com/rosemaryrill/rosemaryrill/registrar"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/router"
 )
 
@@ -66,9 +67,10 @@
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params, c caller) observer.OutcomeLabel {
 	started := time.Now()
-	request, stream, refusal := s.readChatRequest(w, r, c, started)
+	request, stream, share, refusal := s.readChatRequest(w, r, c, started)
+	defer share.Release()
 	if refusal != nil {
-		return s.writeRefusal(w, c.account.Name, refusal)
+		return s.writeBodyRefusal(w, r, c.account.Name, refusal)
 	}
 	var answer answerWriter = newBufferedAnswer(w, request)
 	if stream {
@@ -100,29 +102,30 @@
 	return refusal
 }
 
-func (s *Server) readChatRequest(w http.ResponseWriter, r *http.Request, c caller, now time.Time) (request completer.Request, stream bool, refusal *refuser.Refusal) {
+// readChatRequest reads a request. The share is the memory that it holds.
+func (s *Server) readChatRequest(w http.ResponseWriter, r *http.Request, c caller, now time.Time) (request completer.Request, stream bool, share *reserver.Share, refusal *refuser.Refusal) {
 	deadline, refusal := s.deadline(r, now)
 	if refusal != nil {
-		return request, false, refusal
+		return request, false, nil, refusal
 	}
 	class, refusal := requestClass(r.Header.Get(headerClass), c.account)
 	if refusal != nil {
-		return request, false, refusal
+		return request, false, nil, refusal
 	}
-	body, refusal := s.readBody(w, r)
+	body, share, refusal := s.readBody(w, r, c.account.Name, chatCopies)
 	if refusal != nil {
-		return request, false, refusal
+		return request, false, nil, refusal
 	}
 	request, stream, refusal = parseChat(body)
 	if refusal != nil {
-		return request, false, refusal
+		return request, false, share, refusal
 	}
 	request.ID = c.requestID
 	request.Account = c.account.Name
 	request.Class = class
 	request.ArrivedAt = now
 	request.Deadline = deadline
-	return request, stream, nil
+	return request, stream, share, nil
 }
 
 // parseChat parses a request in the OpenAI format. It copies the sampling fields to Options and
--- a/server/server.go
+++ b/server/server.go
@@ -45,6 +45,7 @@
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 	"github.com/rosemaryrill/rosemaryrill/registrar"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Error is the class of all errors of this package.
@@ -57,6 +58,10 @@
 	defaultBodyTimeout    = 30 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
 	defaultDeadline       = 2 * time.Minute
+	// answerTimeout is how long a caller may leave a piece of its answer unread.
+	answerTimeout = 30 * time.Second
+	// http2BufferBytes bounds what a connection of HTTP/2 may send before it is read. Its streams share it.
+	http2BufferBytes = 256 << 10
 	// maxDeadline bounds the deadline that a request may set in its header.
 	maxDeadline = time.Hour
 )
@@ -108,6 +113,10 @@
 	HeaderTimeout time.Duration
 	// BodyTimeout bounds the time to receive the body; 30 s by default.
 	BodyTimeout time.Duration
+	// Memory bounds the memory of all open requests together. Default: no bound.
+	Memory *reserver.Memory
+	// MaxConnections bounds the connections that are open at once. Default: no bound.
+	MaxConnections int
 	// DefaultDeadline applies to requests without a deadline header; 2 minutes by default.
 	DefaultDeadline time.Duration
 }
@@ -175,9 +184,16 @@
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		TLSConfig:         s.settings.TLS,
+		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: http2BufferBytes, MaxReceiveBufferPerStream: http2BufferBytes},
 		ErrorLog:          slog.NewLogLogger(s.settings.Log.Handler(), slog.LevelDebug),
 	}
-	s.drainer = drainer.New(s.http, drainer.Settings{AbortCause: errShutdown, Logger: s.settings.Log})
+	drain := drainer.Settings{
+		AbortCause: errShutdown, Logger: s.settings.Log, MaxConnections: s.settings.MaxConnections, WriteTimeout: answerTimeout,
+	}
+	if s.settings.Memory != nil {
+		drain.Heads = s.settings.Memory
+	}
+	s.drainer = drainer.New(s.http, drain)
 	return s, nil
 }
 
@@ -253,6 +269,11 @@
 	return s.drainer.Close()
 }
 
+// Connections returns the number of connections that are open, that made room for others and that were closed since there were too many.
+func (s *Server) Connections() (open, displaced, refused int64) {
+	return int64(s.drainer.OpenConnections()), s.drainer.Displaced(), s.drainer.Refused()
+}
+
 // awaitCancelled waits until the handlers of cancelled requests have returned, which may take longer than the drain waits,
 // and until their answers are written.
 func (s *Server) awaitCancelled() {
--- a/server/service.go
+++ b/server/service.go
@@ -22,10 +22,11 @@
 	if len(r.Header.Values(headerIdempotencyKey)) > 1 {
 		return s.writeRefusal(w, c.account.Name, refuser.New(refuser.CodeBadIdempotencyKey, "the header %s was sent more than once", headerIdempotencyKey))
 	}
-	body, refusal := s.readBody(w, r)
+	body, share, refusal := s.readBody(w, r, c.account.Name, serviceCopies)
 	if refusal != nil {
-		return s.writeRefusal(w, c.account.Name, refusal)
+		return s.writeBodyRefusal(w, r, c.account.Name, refusal)
 	}
+	defer func() { share.Release() }()
 	request := invoker.Request{
 		ID:          c.requestID,
 		Account:     c.account.Name,
@@ -42,6 +43,8 @@
 	if err != nil {
 		return s.writeRefusal(w, c.account.Name, serviceRefusal(r.Context(), err))
 	}
+	share.Release()
+	share = s.settings.Memory.Hold(c.account.Name, len(answer.Body)) // The caller may read it slowly.
 	writeServiceAnswer(w, answer)
 	return observer.OutcomeComplete
 }
