allocator: large requests of small accounts pass as often as small ones; units ahead where they are used soon

Cause: beyond the quota of a small account, requests of 17,050 tokens passed in 9% of cases and those of 394 in 72%, since the bucket never had enough for the large ones. After a restart of all daemons 0.2% of the requests within the quota were refused. Change: a coordinator of most of the fleet overdraws the bucket by up to 20,000 tokens; a daemon begins with 250 ms of its own part; units are asked for ahead if they would be used within half a second.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -13,11 +13,12 @@
 	MaxWait = 250 * time.Millisecond
 	// lotLifetime is how long granted or refunded units can be used.
 	lotLifetime = time.Second
-	// usageWindow is the time whose usage is asked for ahead.
-	usageWindow = 100 * time.Millisecond
-	// aheadMultiple is how many of the largest recent requests the units asked for ahead have to cover. Less would lie in
-	// pieces at several daemons, where no request can use them.
-	aheadMultiple = 2
+	// usageWindow is the time over which usage is averaged, and aheadTime is the time whose usage is asked for ahead.
+	usageWindow = 500 * time.Millisecond
+	aheadTime   = 100 * time.Millisecond
+	// overdraft is by how many tokens the bucket of a coordinator of most of the fleet may be overdrawn. Otherwise requests of
+	// usual size would never find enough in the bucket of a small account whose small requests use up its quota.
+	overdraft = 20_000
 	// aheadReserve is the part of a full bucket that is not given away ahead.
 	aheadReserve = 0.5
 	// defaultRetryAfter is the retry delay while no coordinator is known to answer.
@@ -53,6 +54,8 @@
 	// held is the part of the amount that was set aside for the need.
 	held     uint64
 	deadline clocker.Instant
+	// told is set once the need was told to the coordinator.
+	told bool
 	// tag orders the needs of an account so that those who wait take turns.
 	tag uint64
 }
@@ -175,10 +178,14 @@
 // threshold returns the units that must be available before an amount is granted. A coordinator of most of the fleet grants an
 // amount beyond the capacity when the bucket is full.
 func (a *account) threshold(amount uint64, t terms) float64 {
-	if t.creates && t.majority {
-		return min(float64(amount), a.capacity(t)*(1-roundingTolerance))
+	if !t.creates || !t.majority {
+		return float64(amount)
+	}
+	full := min(float64(amount), a.capacity(t)*(1-roundingTolerance))
+	if !a.inTokens {
+		return full
 	}
-	return float64(amount)
+	return min(full, max(float64(amount)-overdraft, 1))
 }
 
 // roundingTolerance is the relative error of a bucket that was filled in many small steps.
@@ -230,11 +237,13 @@
 	a.used, a.largest, a.windowAt = 0, 0, now
 }
 
-// ahead returns how many units should be at hand for requests to come.
+// ahead returns how many units should be at hand for requests to come: the usage of aheadTime, and enough for a large request. It
+// is zero if they would not be used soon, or if they are so large a part of the quota that other daemons would miss them.
 func (a *account) ahead(now clocker.Instant) uint64 {
 	a.rotate(now)
-	wanted := min(max(a.used, a.usedBefore), uint64(a.rate*usageWindow.Seconds()))
-	if wanted < aheadMultiple*max(a.largest, a.largestBefore) {
+	used := max(a.used, a.usedBefore)
+	wanted := uint64(float64(used)*(aheadTime.Seconds()/usageWindow.Seconds())) + max(a.largest, a.largestBefore)
+	if wanted > used || float64(wanted) > a.rate*aheadTime.Seconds() {
 		return 0
 	}
 	return wanted
@@ -355,5 +364,5 @@
 
 // aheadRefused reports whether units were asked for ahead lately and did not come.
 func (a *account) aheadRefused(now clocker.Instant) bool {
-	return a.aheadAt != 0 && now.Sub(a.aheadAt) < usageWindow/2
+	return a.aheadAt != 0 && now.Sub(a.aheadAt) < aheadTime/2
 }
--- a/allocator/exchange.go
+++ b/allocator/exchange.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/clocker"
@@ -132,6 +133,7 @@
 		if len(want.Needs) == maxNeeds {
 			break
 		}
+		e.told = true
 		want.Needs = append(want.Needs, Need{ID: e.id, Amount: e.missing(), Patience: e.deadline.Sub(n.now)})
 	}
 	if wanted, there := a.ahead(n.now), a.inLots(n.now); len(a.entries) == 0 && there < wanted {
@@ -335,7 +337,7 @@
 	c.seen[grant.Account] = max(c.seen[grant.Account], grant.Total)
 	a.serve(n.terms, n.now)
 	n.watch(a)
-	n.urgent = n.urgent || len(a.entries) > maxNeeds
+	n.urgent = n.urgent || slices.ContainsFunc(a.entries, func(e *entry) bool { return !e.told })
 }
 
 // answer returns the answers that are due.
--- a/allocator/node.go
+++ b/allocator/node.go
@@ -20,6 +20,8 @@
 	refreshInterval = 80 * time.Millisecond
 	// maxBacklog bounds the fleet time that a daemon keeps while it has no coordinator, and what it creates after a pause.
 	maxBacklog = 500 * time.Millisecond
+	// restartCredit is fleet time that a daemon creates at once when it begins, for a part of the time that it was not there.
+	restartCredit = 250 * time.Millisecond
 	// creationStep is the least time that is created at once, so that rounding loses little.
 	creationStep = time.Millisecond
 	// maxEchoAge is the age, by the own clock, of the message that a daemon must have received for its wishes to count.
@@ -71,7 +73,9 @@
 	searchingSince clocker.Instant
 	children       map[uint64]*child
 
+	// createdAt is up to when fleet time was created. created is set once the daemon has created some.
 	createdAt clocker.Instant
+	created   bool
 	// backlog is fleet time that was neither transferred nor converted yet.
 	backlog time.Duration
 	terms   terms
@@ -229,7 +233,12 @@
 	}
 	if elapsed := n.now.Sub(n.createdAt); elapsed >= creationStep {
 		n.createdAt = n.now
-		if n.roster.mayCreate(n.now) {
+		mayCreate := n.roster.mayCreate(n.now)
+		if mayCreate && !n.created {
+			elapsed += restartCredit
+		}
+		n.created = n.created || mayCreate
+		if mayCreate {
 			n.backlog += min(elapsed, maxBacklog) / time.Duration(n.roster.count(n.now))
 		}
 	}
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -77,3 +77,6 @@
 	}
 	return append(usages[:maxReported], rest)
 }
+
+// Creates reports whether the daemon creates units.
+func (n *Node) Creates() bool { return n.terms.creates }
--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -103,7 +103,16 @@
 	return s
 }
 
-// restart replaces the process of a node, which finds its entry and those of the others in the store.
+// processStart is the time between the end of a process and the first creation of quota by the next.
+const processStart = 300 * time.Millisecond
+
+// replace ends the process of a node and starts another.
+func (s *simulation) replace(node *simulatedNode) {
+	node.down = true
+	s.after(processStart, func() { s.restart(node) })
+}
+
+// restart starts a process at a node, which finds its entry and those of the others in the store.
 func (s *simulation) restart(node *simulatedNode) {
 	node.incarnations++
 	node.down = false
@@ -209,6 +218,7 @@
 		}
 		if !request.waiter.Granted {
 			s.refusals++
+
 			continue
 		}
 		s.slowest = max(s.slowest, s.now.Sub(request.since))
