allocator: a stopping coordinator hands its buckets over; metrics by account

Cause: a planned stop of the coordinator cost 0.8 s of grants, and a coordinator that began refused requests as it had little of the fleet. Change: a leaving daemon is nobody's coordinator and grants what its buckets have to the next; a coordinator refuses nothing early in its first 0.8 s; rill_quota_* metrics.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -125,9 +125,11 @@
 
 // Usage counts what happened to the requests of an account at one daemon.
 type Usage struct {
-	// Granted are the units that were acquired or charged, and Refunded those that were given back.
-	Granted, Refunded uint64
-	// Refused and Waited count requests.
+	// Used are the units that were acquired or charged, and Refunded those that were given back.
+	Used, Refunded uint64
+	// Granted are the units that were granted to other daemons.
+	Granted uint64
+	// Refused and Waited count requests of this daemon.
 	Refused, Waited uint64
 }
 
@@ -137,6 +139,9 @@
 	time     time.Duration
 	share    float64
 	majority bool
+	// since is when the coordinator began to create units. While it is young, the others may not know it yet, and its share grows.
+	since clocker.Instant
+	young bool
 }
 
 // capacity is the capacity of the token bucket.
@@ -297,17 +302,18 @@
 	a.turn = max(a.turn, e.tag-1)
 	a.count(e.amount, now)
 	if e.waiter != nil {
-		a.usage.Granted += e.amount
+		a.usage.Used += e.amount
 		e.waiter.Granted = true
 		close(e.waiter.Done)
 		return
 	}
-	e.claim.grant(e.amount, now)
+	a.give(e.claim, e.amount, now)
 	e.claim.decided[e.idThere] = decision{grantedTotal: e.claim.total}
 }
 
-// grant numbers further units.
-func (c *claim) grant(amount uint64, now clocker.Instant) {
+// give numbers further units for another daemon.
+func (a *account) give(c *claim, amount uint64, now clocker.Instant) {
+	a.usage.Granted += amount
 	c.total += amount
 	if c.unseenSince == 0 {
 		c.unseenSince = now
@@ -355,7 +361,10 @@
 
 // waitFor returns the time until the bucket has gained units, for a need of an amount.
 func (a *account) waitFor(units float64, amount uint64, t terms) time.Duration {
-	if a.threshold(amount, t) > a.capacity(t) || t.share <= 0 {
+	switch {
+	case t.young:
+		return defaultRetryAfter
+	case a.threshold(amount, t) > a.capacity(t) || t.share <= 0:
 		return maxRetryAfter
 	}
 	seconds := max(units, 0) / (a.rate * t.share)
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -148,6 +148,9 @@
 	a.poke(func(node *Node, now clocker.Instant) { node.SetListing(listing, now) })
 }
 
+// Leave makes this daemon nobody's coordinator, since it stops soon.
+func (a *Allocator) Leave() { a.poke(func(node *Node, now clocker.Instant) { node.Leave(now) }) }
+
 // Receive processes a message of another daemon.
 func (a *Allocator) Receive(daemon string, encoded []byte) {
 	message, err := Decode(encoded)
--- a/allocator/exchange.go
+++ b/allocator/exchange.go
@@ -76,7 +76,10 @@
 			interval = retryInterval + n.parent.roundTrip
 		}
 	}
-	if n.urgent || n.wantsAhead() {
+	if n.wantsAhead() {
+		interval = min(interval, aheadSpacing)
+	}
+	if n.urgent {
 		interval = minSpacing
 	}
 	return since >= interval
@@ -221,7 +224,7 @@
 	a.fill(n.terms)
 	if want.Debt > 0 && want.Seen >= claim.debtMark {
 		a.take(want.Debt, n.terms, n.now)
-		claim.grant(want.Debt, n.now)
+		a.give(claim, want.Debt, n.now)
 		claim.debtMark = claim.total
 	}
 	n.withdrawUnlisted(a, claim, want)
@@ -282,7 +285,7 @@
 	}
 	a.take(want.Ahead, n.terms, n.now)
 	a.count(want.Ahead, n.now)
-	claim.grant(want.Ahead, n.now)
+	a.give(claim, want.Ahead, n.now)
 	claim.aheadMark = claim.total
 }
 
@@ -299,7 +302,9 @@
 	if message.Echo > c.answeredAt {
 		c.answeredAt, c.roundTrip = message.Echo, age
 	}
-	c.echo = max(c.echo, message.SentAt)
+	if message.SentAt > c.echo {
+		c.echo, c.leaving = message.SentAt, message.Leaving
+	}
 	for _, grant := range message.Grants {
 		n.receiveGrant(c, grant, message.Echo.Add(lotLifetime))
 	}
@@ -356,7 +361,7 @@
 			part := grants[:min(len(grants), maxWants)]
 			grants = grants[len(part):]
 			messages = append(messages, Outgoing{To: c.name, Message: Message{
-				Sender: n.settings.Incarnation, Receiver: c.incarnation, SentAt: n.nextStamp(), Echo: c.sentAt, Reply: true, Grants: part,
+				Sender: n.settings.Incarnation, Receiver: c.incarnation, SentAt: n.nextStamp(), Echo: c.sentAt, Reply: true, Leaving: n.leaving, Grants: part,
 			}})
 		}
 	}
--- a/allocator/message.go
+++ b/allocator/message.go
@@ -20,6 +20,7 @@
 	fieldShare    protowire.Number = 7
 	fieldWant     protowire.Number = 8
 	fieldGrant    protowire.Number = 9
+	fieldLeaving  protowire.Number = 10
 
 	fieldAccount protowire.Number = 1
 	fieldSeen    protowire.Number = 2
@@ -55,6 +56,8 @@
 	// SentAt is the sender's clock, and Echo the SentAt of the newest message that the sender has received from the receiver.
 	SentAt, Echo clocker.Instant
 	Reply        bool
+	// Leaving is set if the sender stops soon and should be nobody's coordinator.
+	Leaving bool
 	// Time is the fleet time that the sender has transferred to this incarnation of the receiver in all.
 	Time time.Duration
 	// Share is the part of the fleet's daemons whose time the sender transfers.
@@ -104,6 +107,9 @@
 	if m.Reply {
 		encoded = appendVarint(encoded, fieldReply, 1)
 	}
+	if m.Leaving {
+		encoded = appendVarint(encoded, fieldLeaving, 1)
+	}
 	encoded = appendVarint(encoded, fieldTime, uint64(max(m.Time, 0)))
 	encoded = appendVarint(encoded, fieldShare, uint64(max(m.Share, 0)*shareUnit))
 	for _, want := range m.Wants {
@@ -161,6 +167,8 @@
 			m.Echo = instant(number)
 		case fieldReply:
 			m.Reply = number != 0
+		case fieldLeaving:
+			m.Leaving = number != 0
 		case fieldTime:
 			m.Time = time.Duration(instant(number))
 		case fieldShare:
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -30,7 +30,7 @@
 		at := time.Duration(rapid.Int64Range(0, int64(duration)).Draw(t, "at"))
 		length := time.Duration(rapid.Int64Range(int64(50*time.Millisecond), int64(12*time.Second)).Draw(t, "length"))
 		node := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node")]
-		switch kind := rapid.SampledFrom([]string{"restart", "restart all", "stop", "pause", "partition", "one way", "isolation"}).Draw(t, "fault"); kind {
+		switch kind := rapid.SampledFrom([]string{"restart", "restart all", "stop", "leave", "pause", "partition", "one way", "isolation"}).Draw(t, "fault"); kind {
 		case "restart":
 			s.after(at, func() { s.replace(node) })
 		case "restart all":
@@ -42,6 +42,9 @@
 		case "stop":
 			s.after(at, func() { node.down = true })
 			s.after(at+max(length, processStart), func() { s.restart(node) })
+		case "leave":
+			s.after(at, func() { node.Leave(s.clock(node)) })
+			s.after(at+length, func() { s.replace(node) })
 		case "pause":
 			s.after(at, func() { node.pausedUntil = s.now.Add(length) })
 			s.after(at+length, func() { s.step(node) })
@@ -77,7 +80,7 @@
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"), nodes, rapid.IntRange(1, 3).Draw(t, "data centres"), quota)
 		start := s.now
 		s.faults(t, duration)
-		amount := rapid.SampledFrom([]func() uint64{fixed(uint64(quota.RatePerSecond / 100)), fixed(17_050), fixed(93_000), s.mixed}).Draw(t, "amounts")
+		amount := rapid.SampledFrom([]func() uint64{fixed(uint64(quota.RatePerSecond / 100)), fixed(largeRequest), fixed(93_000), s.mixed}).Draw(t, "amounts")
 		factor := rapid.SampledFrom([]float64{1, 3, 7}).Draw(t, "factor")
 		quiet := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "quiet"))
 		s.after(quiet, func() { s.load(quota.Account, factor*quota.RatePerSecond, amount, s.nodes, duration-quiet) })
--- a/allocator/node.go
+++ b/allocator/node.go
@@ -14,6 +14,8 @@
 	relayHeartbeat = 100 * time.Millisecond
 	// minSpacing is the least time between two messages to the coordinator.
 	minSpacing = 4 * time.Millisecond
+	// aheadSpacing is the same if nothing is wanted but units for requests to come.
+	aheadSpacing = 20 * time.Millisecond
 	// retryInterval is how long a message with needs may stay unanswered before they are told again, beyond the usual time of an
 	// answer, and refreshInterval is how often needs that wait at the coordinator are told again.
 	retryInterval   = 30 * time.Millisecond
@@ -68,6 +70,8 @@
 	// active are the accounts that have needs or debts or want units ahead.
 	active     map[*account]bool
 	candidates []*coordinator
+	peers      []Peer
+	leaving    bool
 	// parent is the coordinator of this daemon; nil if it has none. searchingSince is since when it has none.
 	parent         *coordinator
 	searchingSince clocker.Instant
@@ -133,12 +137,28 @@
 func (n *Node) SetListing(listing Listing, now clocker.Instant) {
 	n.advanceClock(now)
 	n.roster.set(listing, now)
+	n.peers = listing.Peers
+	n.setCandidates()
+}
+
+// Leave makes this daemon nobody's coordinator, since it stops soon.
+func (n *Node) Leave(now clocker.Instant) {
+	n.advanceClock(now)
+	n.leaving = true
+	n.setCandidates()
+	for _, c := range n.children {
+		c.replyDue = c.replyDue || c.fresh(now)
+	}
+}
+
+// setCandidates sets the candidates according to the peers.
+func (n *Node) setCandidates() {
 	known := make(map[string]*coordinator, len(n.candidates))
 	for _, c := range n.candidates {
 		known[c.Name] = c
 	}
 	n.candidates = nil
-	for _, peer := range coordinatorsFor(n.settings.Self, listing.Peers) {
+	for _, peer := range coordinatorsFor(n.settings.Self, n.leaving, n.peers) {
 		c := known[peer.Name]
 		if c == nil {
 			c = &coordinator{}
@@ -175,7 +195,7 @@
 		a.usage.Waited++
 	}
 	n.urgent = true
-	if wait := a.wait(e, n.terms, n.now); n.terms.creates && wait > e.deadline.Sub(n.now) {
+	if wait := a.wait(e, n.terms, n.now); n.terms.creates && !n.terms.young && wait > e.deadline.Sub(n.now) {
 		a.refuse(e, wait, n.now)
 	}
 }
@@ -201,7 +221,7 @@
 		a.fill(n.terms)
 		a.take(amount, n.terms, now)
 		a.count(amount, now)
-		a.usage.Granted += amount
+		a.usage.Used += amount
 		n.urgent = n.urgent || a.debt > 0
 		n.watch(a)
 	}
@@ -261,6 +281,7 @@
 		}
 	}
 	n.terms.share, n.terms.majority = min(share, 1), share > 0.5
+	n.terms.young = n.now.Sub(n.terms.since) < answerTimeout
 	for a := range n.active {
 		a.fill(n.terms)
 	}
@@ -308,7 +329,7 @@
 
 // exhausted reports whether all candidates were asked and none has answered.
 func (n *Node) exhausted() bool {
-	if len(n.candidates) == 0 {
+	if !slices.ContainsFunc(n.candidates, func(c *coordinator) bool { return !c.leaving }) {
 		return true
 	}
 	return n.probes() >= len(n.candidates) && n.now.Sub(n.searchingSince) > answerTimeout
@@ -322,14 +343,15 @@
 
 // beginTerm makes this daemon create units. Its buckets start empty.
 func (n *Node) beginTerm() {
-	n.terms = terms{creates: true, share: n.share()}
+	n.terms = terms{creates: true, share: n.share(), since: n.now, young: true}
 	for _, a := range n.accounts {
 		a.level, a.levelAt = -float64(a.debt), 0
 		a.debt = 0
 	}
 }
 
-// endTerm makes this daemon get its units from another. What its buckets have can be used for a short time, as if it was granted now.
+// endTerm makes this daemon get its units from another. What its buckets have can be used for a short time, as if it was granted now:
+// by this daemon, or by the next coordinator if this one is leaving.
 func (n *Node) endTerm() {
 	if !n.terms.creates {
 		return
@@ -338,7 +360,7 @@
 	for _, a := range n.accounts {
 		a.fill(n.terms)
 		if a.level >= 1 {
-			a.add(uint64(a.level), n.now.Add(lotLifetime))
+			n.passOn(a, uint64(a.level))
 		} else if a.level <= -1 {
 			a.debt += uint64(-a.level)
 		}
@@ -346,3 +368,12 @@
 	}
 	n.terms = terms{}
 }
+
+// passOn keeps units for this daemon, or grants them to the coordinator of a daemon that is leaving.
+func (n *Node) passOn(a *account, amount uint64) {
+	if c := n.children[n.parent.incarnation]; n.leaving && c != nil && c.fresh(n.now) {
+		a.give(c.claim(a.hash), amount, n.now)
+		return
+	}
+	a.add(amount, n.now.Add(lotLifetime))
+}
--- a/allocator/peer.go
+++ b/allocator/peer.go
@@ -42,11 +42,11 @@
 }
 
 // coordinatorsFor returns the daemons that may be the coordinator of self, the most wanted first. Each of them ranks before self, so
-// that no two daemons can be the coordinators of each other.
-func coordinatorsFor(self Peer, peers []Peer) (candidates []Peer) {
+// that no two daemons can be the coordinators of each other. All others rank before a daemon that is leaving.
+func coordinatorsFor(self Peer, leaving bool, peers []Peer) (candidates []Peer) {
 	ranked := slices.Clone(peers)
 	slices.SortFunc(ranked, compareRanks)
-	ranked = slices.DeleteFunc(ranked, func(p Peer) bool { return compareRanks(p, self) >= 0 })
+	ranked = slices.DeleteFunc(ranked, func(p Peer) bool { return !leaving && compareRanks(p, self) >= 0 })
 	if len(peers) <= maxDirectPeers {
 		return ranked
 	}
@@ -69,6 +69,8 @@
 	Peer
 	// incarnation is that of its last answer; zero before the first. retired is the one before.
 	incarnation, retired uint64
+	// leaving is set if that incarnation stops soon.
+	leaving bool
 	// answeredAt is when the newest message that it answered was sent, and askedAt when the last one was sent.
 	answeredAt, askedAt clocker.Instant
 	// echo is the SentAt of its newest message.
@@ -81,13 +83,13 @@
 }
 
 func (c *coordinator) answers(now clocker.Instant) bool {
-	return c.answeredAt != 0 && now.Sub(c.answeredAt) <= answerTimeout
+	return !c.leaving && c.answeredAt != 0 && now.Sub(c.answeredAt) <= answerTimeout
 }
 
 // become records that the daemon has another incarnation. Nothing that was transferred to the former one is transferred again.
 func (c *coordinator) become(incarnation uint64) {
 	c.retired, c.incarnation = c.incarnation, incarnation
-	c.transferred, c.seen = 0, make(map[AccountHash]uint64)
+	c.transferred, c.seen, c.leaving = 0, make(map[AccountHash]uint64), false
 }
 
 // child is one incarnation of a daemon that has sent messages to this one.
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -62,13 +62,14 @@
 		usages = append(usages, AccountUsage{Account: account.name, Usage: account.usage, Waiting: uint64(len(account.entries))})
 	}
 	slices.SortFunc(usages, func(a, b AccountUsage) int {
-		return cmp.Or(cmp.Compare(b.Granted, a.Granted), cmp.Compare(a.Account, b.Account))
+		return cmp.Or(cmp.Compare(b.Used+b.Granted, a.Used+a.Granted), cmp.Compare(a.Account, b.Account))
 	})
 	if len(usages) <= maxReported {
 		return usages
 	}
 	var rest AccountUsage
 	for _, usage := range usages[maxReported:] {
+		rest.Used += usage.Used
 		rest.Granted += usage.Granted
 		rest.Refunded += usage.Refunded
 		rest.Refused += usage.Refused
@@ -78,5 +79,5 @@
 	return append(usages[:maxReported], rest)
 }
 
-// Creates reports whether the daemon creates units.
+// Creates reports whether the daemon creates the units that it grants, and does not get them from a coordinator.
 func (n *Node) Creates() bool { return n.terms.creates }
--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -282,12 +282,13 @@
 	return largest
 }
 
-// fixed returns requests of one amount, and mixed many small and some large ones.
+// fixed returns requests of one amount.
 func fixed(amount uint64) func() uint64 { return func() uint64 { return amount } }
 
+// mixed returns many small and some large requests.
 func (s *simulation) mixed() uint64 {
 	if s.random.Float64() < 0.06 {
-		return 17_050
+		return largeRequest
 	}
-	return 394
+	return smallRequest
 }
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -246,6 +246,7 @@
 		stopAt := time.Now().Add(d.hosted.Load().StopBound)
 		d.stopping.Store(true)
 		d.edge.drainer.Leave()
+		d.quotas.Leave()
 		d.logger.Info("daemon stopping", "bound", d.hosted.Load().StopBound)
 		d.closeErr = d.coordination.upgrader.Close()
 		d.edge.drain(stopAt)
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -58,6 +58,7 @@
 	} {
 		group.Add(metrics.Gauge(gauge.name, gauge.description, gauge.read))
 	}
+	group.Add(d.registerQuotaMetrics())
 	return group.Err()
 }
 
--- a/assembler/quotas.go
+++ b/assembler/quotas.go
@@ -1,8 +1,11 @@
 package assembler
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/rosemaryrill/rosemaryrill/allocator"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/tracker"
@@ -30,3 +33,35 @@
 	}
 	d.quotas.SetListing(listing)
 }
+
+// otherAccounts is the label of the accounts whose usage is not reported one by one.
+const otherAccounts = "other"
+
+// registerQuotaMetrics registers the metrics of the quotas by account.
+func (d *Daemon) registerQuotaMetrics() error {
+	metrics := d.observer.Metrics()
+	var group errs.Group
+	for _, total := range []struct {
+		name, description string
+		read              func(usage allocator.AccountUsage) uint64
+	}{
+		{"rill_quota_used", "Units of quotas that requests of this daemon acquired.", func(u allocator.AccountUsage) uint64 { return u.Used }},
+		{"rill_quota_refunded", "Units of quotas that were given back, since no target ran the request.", func(u allocator.AccountUsage) uint64 { return u.Refunded }},
+		{"rill_quota_granted", "Units of quotas that this daemon granted to others.", func(u allocator.AccountUsage) uint64 { return u.Granted }},
+		{"rill_quota_refused", "Requests that were refused since their quota was used up.", func(u allocator.AccountUsage) uint64 { return u.Refused }},
+		{"rill_quota_waited", "Requests that waited for their quota.", func(u allocator.AccountUsage) uint64 { return u.Waited }},
+	} {
+		group.Add(metrics.LabelledTotals(total.name, total.description, "account", func(observe func(string, int64)) {
+			for _, usage := range d.quotas.Report() {
+				observe(cmp.Or(usage.Account, otherAccounts), int64(total.read(usage)))
+			}
+		}))
+	}
+	group.Add(metrics.Gauge("rill_quota_waiting", "Requests that wait for their quota.", func() (waiting int64) {
+		for _, usage := range d.quotas.Report() {
+			waiting += int64(usage.Waiting)
+		}
+		return waiting
+	}))
+	return group.Err()
+}
--- a/observer/metrics.go
+++ b/observer/metrics.go
@@ -137,3 +137,16 @@
 		}))
 	return err
 }
+
+// LabelledTotals registers a counter whose values are read at each collection of the metrics, by the value of a label.
+func (m *Metrics) LabelledTotals(name, description, label string, read func(observe func(value string, total int64))) (err error) {
+	defer Error.WrapP(&err)
+	_, err = m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			read(func(value string, total int64) {
+				observer.Observe(total, metric.WithAttributes(attribute.String(label, value)))
+			})
+			return nil
+		}))
+	return err
+}
