--- a/broadcaster/quota_test.go
+++ b/broadcaster/quota_test.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
-	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
 // quotaMessages notes the messages on quotas.
@@ -17,11 +16,6 @@
 	*q = append(*q, daemon+" "+string(message))
 }
 
-type noState struct{}
-
-func (noState) Export() placer.PeerUpdate        { return placer.PeerUpdate{} }
-func (noState) Import(string, placer.PeerUpdate) {}
-
 // Guards against messages on quotas that are lost, or that are taken for a sign of the sender's load.
 func TestQuotaMessagesAreHandedOver(t *testing.T) {
 	var received quotaMessages
