--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -103,7 +103,16 @@
 	return s
 }
 
-// restart replaces the process of a node, which finds its entry and those of the others in the store.
+// processStart is the time between the end of a process and the first creation of quota by the next.
+const processStart = 300 * time.Millisecond
+
+// replace ends the process of a node and starts another.
+func (s *simulation) replace(node *simulatedNode) {
+	node.down = true
+	s.after(processStart, func() { s.restart(node) })
+}
+
+// restart starts a process at a node, which finds its entry and those of the others in the store.
 func (s *simulation) restart(node *simulatedNode) {
 	node.incarnations++
 	node.down = false
@@ -209,6 +218,7 @@
 		}
 		if !request.waiter.Granted {
 			s.refusals++
+
 			continue
 		}
 		s.slowest = max(s.slowest, s.now.Sub(request.since))
@@ -272,12 +282,13 @@
 	return largest
 }
 
-// fixed returns requests of one amount, and mixed many small and some large ones.
+// fixed returns requests of one amount.
 func fixed(amount uint64) func() uint64 { return func() uint64 { return amount } }
 
+// mixed returns many small and some large requests.
 func (s *simulation) mixed() uint64 {
 	if s.random.Float64() < 0.06 {
-		return 17_050
+		return largeRequest
 	}
-	return 394
+	return smallRequest
 }
