balancer, placer: requests leave their data centre if that is worth the cost

Cause: a target in another data centre had a fixed penalty of 2 ms whatever was sent there, so that all daemons sent to whichever data centre looked a little less loaded.

Change: with hosted.cross_data_centre_gigabyte_cost above 0, package balancer compares the best target of each data centre: what the caller loses by being late or slow against the route's objective, the measured time to open connections there, and the price of the bytes. What a daemon sends is bounded by its part of half of the free slots there in 250 ms. A data centre of which no answer with a load came for 2 s, or after a failure, gets single requests. Cached parts move between data centres only if that is worth their price. Without the setting the 2 ms stay and nothing else changes.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -152,7 +152,7 @@
 		startTime: time.Now(),
 		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
-	d.connector = connector.New(connector.Settings{Memory: d.memory, OnSocket: settings.OnTargetSocket})
+	d.connector = connector.New(connector.Settings{Memory: d.memory, OnSocket: settings.OnTargetSocket, OnConnect: d.recordConnect})
 	d.hosted.Store(&settings.Hosted)
 	if err := d.createObserver(ctx); err != nil {
 		return nil, err
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -74,6 +74,7 @@
 	v.placer = placer.New(placer.Settings{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		SoftwareRecorded: d.origins.versions.Recorded, Seed: rand.Uint64(), Logger: d.loggerFor("placer"),
+		Crossing: d.newCrossing(),
 	})
 	v.attributor = attributor.New(attributor.Settings{
 		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.targetRefuses, Now: time.Now,
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -74,6 +74,8 @@
 type Settings struct {
 	// DialTimeout limits the time for opening a connection. Default: DefaultDialTimeout.
 	DialTimeout time.Duration
+	// OnConnect is called with the time that the opening of a connection took. It is optional.
+	OnConnect func(address netip.AddrPort, took time.Duration)
 	// IdleTimeout is how long an idle connection may be reused if the target sends no Keep-Alive timeout.
 	// Default: DefaultIdleTimeout.
 	IdleTimeout time.Duration
@@ -212,6 +214,9 @@
 // New returns a Connector without connections.
 func New(settings Settings) *Connector {
 	settings.DialTimeout = cmp.Or(settings.DialTimeout, DefaultDialTimeout)
+	if settings.OnConnect == nil {
+		settings.OnConnect = func(netip.AddrPort, time.Duration) {}
+	}
 	settings.IdleTimeout = cmp.Or(settings.IdleTimeout, DefaultIdleTimeout)
 	settings.MaxIdle = cmp.Or(settings.MaxIdle, DefaultMaxIdle)
 	return &Connector{
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -42,10 +42,12 @@
 
 // dial opens a connection.
 func (c *Connector) dial(ctx context.Context, pool poolKey) (*connection, error) {
+	begun := time.Now()
 	opened, err := c.dialer.DialContext(ctx, "tcp", pool.address.String())
 	if err != nil {
 		return nil, err
 	}
+	c.settings.OnConnect(pool.address, time.Since(begun))
 	limiter := &headLimiter{reader: opened, memory: c.settings.Memory.Reader(opened)}
 	return &connection{
 		Conn: opened, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, pool: pool, carried: make(map[uint64]struct{}),
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -127,6 +127,9 @@
 	// period, to RetryRatio times the number of its requests plus RetryBurst.
 	RetryRatio float64
 	RetryBurst float64
+	// CrossDataCentreGigabyteCost is the cost of a gigabyte between data centres, where 1 is what an answer on time is worth; zero if
+	// it is not to be weighed.
+	CrossDataCentreGigabyteCost float64
 }
 
 // LogFormat is the format of log lines.
--- a/observer/metrics.go
+++ b/observer/metrics.go
@@ -30,6 +30,8 @@
 	cachedTokens metric.Int64Counter
 	promptTokens metric.Int64Counter
 	sharedReads  metric.Int64Counter
+	crossings    metric.Int64Counter
+	crossedBytes metric.Int64Counter
 	firstToken   metric.Float64Histogram
 	decision     metric.Float64Histogram
 	active       metric.Int64UpDownCounter
@@ -59,6 +61,8 @@
 		cachedTokens: counter("rill_cached_tokens", "Prompt tokens that engines took from their cache."),
 		promptTokens: counter("rill_prompt_tokens", "Prompt tokens of all requests."),
 		sharedReads:  counter("rill_shared_tokens_read", "Tokens of shared prompt parts that targets were expected to read, by cause."),
+		crossings:    counter("rill_crossings", "Requests that were sent to another data centre, by data centre and reason, if that is weighed."),
+		crossedBytes: counter("rill_crossed_bytes", "Expected bytes of these requests and their answers, by data centre and reason."),
 		controlBytes: counter("rill_control_bytes", "Bytes between daemons by direction."),
 		wireBytes:    counter("rill_wire_bytes", "Bytes of the daemon's own connections, headers included, by peer and direction."),
 		firstToken: histogram("rill_first_token", "Time from the request to the first token.",
@@ -110,6 +114,13 @@
 	m.sharedReads.Add(context.Background(), int64(tokens), metric.WithAttributes(attribute.String("cause", cause)))
 }
 
+// CountCrossing counts a request that is sent to another data centre, and the bytes that it is expected to move.
+func (m *Metrics) CountCrossing(dataCentre, reason string, bytes int) {
+	attributes := metric.WithAttributes(attribute.String("data_centre", dataCentre), attribute.String("reason", reason))
+	m.crossings.Add(context.Background(), 1, attributes)
+	m.crossedBytes.Add(context.Background(), int64(bytes), attributes)
+}
+
 // RecordDecision records the duration of a routing decision.
 func (m *Metrics) RecordDecision(took time.Duration) {
 	m.decision.Record(context.Background(), took.Seconds())
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -208,6 +208,7 @@
 func (a *Attempt) RecordConnectionFailure() {
 	a.updateTarget(func(t *target, now time.Time) {
 		t.recordConnectionFailure(now)
+		a.placer.recordFailure(t)
 		a.forgetPlacement(t)
 	})
 }
@@ -238,7 +239,10 @@
 
 // RecordLoad records the load that the target reports.
 func (a *Attempt) RecordLoad(report LoadReport) {
-	a.updateTarget(func(t *target, now time.Time) { t.recordLoad(report, now) })
+	a.updateTarget(func(t *target, now time.Time) {
+		t.recordLoad(report, now)
+		a.placer.recordAnswer(t)
+	})
 }
 
 func (a *Attempt) updateTarget(change func(t *target, now time.Time)) {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -67,6 +67,10 @@
 	// loadCost is the part of the cost that does not depend on the call, and marginal how much one more request adds to it, both
 	// in nanoseconds.
 	loadCost, marginal float64
+	// answerTime is how long the answer of a service without a model takes, unseenTime the time that unseen work of other calls
+	// takes before, and freeSlots the number of requests that the target can begin at once.
+	answerTime, unseenTime time.Duration
+	freeSlots              int
 	// level is what Placer.draw works on.
 	level levelled
 }
@@ -149,11 +153,12 @@
 func (p *Placer) bestCandidate(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
 	candidates := p.scratch[:0]
 	index := p.newHolderIndex(call, now)
-	retryAfter := time.Duration(0)
+	retryAfter, servedAtHome := time.Duration(0), false
 	for _, t := range p.byService[call.Service] {
 		if !p.accepts(t) || call.Software != "" && t.Software != call.Software {
 			continue
 		}
+		servedAtHome = servedAtHome || t.DataCentre == p.settings.DataCentre
 		if wait := t.pauseLeft(now); wait > 0 {
 			retryAfter = min(cmp.Or(retryAfter, wait), wait)
 			continue
@@ -177,8 +182,14 @@
 	if len(candidates) == 0 {
 		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: max(retryAfter, defaultRetryAfter)}
 	}
-	p.preferHome(call, candidates)
-	return *p.draw(call, candidates, now), nil
+	share := 1.
+	if p.settings.Crossing == nil {
+		p.preferHome(call, candidates)
+		p.addUnseenWork(call, candidates, share, now)
+	} else if candidates, share = p.chooseDataCentre(call, candidates, servedAtHome, now); candidates == nil {
+		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: defaultRetryAfter}
+	}
+	return *p.draw(call, candidates, share, now), nil
 }
 
 // weightsUsable reports whether the request is expected to begin at the target before Settings.VersionBound ends for the
--- a/placer/choose_bench_test.go
+++ b/placer/choose_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/balancer"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
@@ -19,13 +20,16 @@
 		"short": func(int) placer.Call { return shortCall() },
 		"plain": func(int) placer.Call { return placer.Call{Service: service} },
 	} {
-		b.Run(name, func(b *testing.B) { benchmarkChoose(b, call) })
+		b.Run(name, func(b *testing.B) { benchmarkChoose(b, call, nil) })
+		b.Run(name+", crossing", func(b *testing.B) {
+			benchmarkChoose(b, call, balancer.New(balancer.Settings{DataCentre: "north", Now: time.Now, GigabyteCost: func() float64 { return 5_000 }}))
+		})
 	}
 }
 
-func benchmarkChoose(b *testing.B, call func(i int) placer.Call) {
+func benchmarkChoose(b *testing.B, call func(i int) placer.Call, crossing placer.Crossing) {
 	now := time.Unix(1_000_000, 0)
-	p := placer.New(placer.Settings{DataCentre: "north", Now: func() time.Time { return now }, VersionBound: versionBound})
+	p := placer.New(placer.Settings{DataCentre: "north", Now: func() time.Time { return now }, VersionBound: versionBound, Crossing: crossing})
 	p.SetEngines(map[string]placer.Engine{service: {CacheTokens: 100_000, TokenBytes: 18_000, LinkBitsPerSecond: 180e9}})
 	described := targets(benchmarkTargets, 1)
 	for i := range described {
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -18,11 +18,13 @@
 		c.marginal = c.factor * float64(queuedRequestPenalty)
 	}
 	c.expected = scaled(c.expected, c.factor)
-	if t.DataCentre != p.settings.DataCentre {
+	c.freeSlots = t.Slots - load.requests
+	if t.DataCentre != p.settings.DataCentre && p.settings.Crossing == nil {
 		c.expected += crossDataCentrePenalty
 	}
 	if call.Model == "" {
-		c.cost = c.expected + p.answerCost(&c, load.requests)
+		c.answerTime = p.answerCost(&c, load.requests)
+		c.cost = c.expected + c.answerTime
 		c.loadCost = float64(c.cost)
 		return c
 	}
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -40,8 +40,8 @@
 type promptHolders struct {
 	// keys are the keys of the shared parts of the prompt.
 	keys []partKey
-	// largest are the two targets that hold the most tokens. The second one is used if the first one is itself the
-	// target that fetches.
+	// largest are the two targets that hold the most tokens, in each data centre if moves between these have a price. The second one
+	// is used if the first one is itself the target that fetches.
 	largest []holder
 	// maxTokens is the largest number of tokens that a target holds, or will hold after the prefill of the requests
 	// sent to it.
@@ -83,17 +83,26 @@
 		}
 		found.maxTokens = max(found.maxTokens, x.call.cachedTokens(t.cached, found.keys))
 		if tokens := x.call.fetchableTokens(t.cached, found.keys, x.now); tokens >= minFetchTokens {
-			found.add(holder{target: t, tokens: tokens})
+			found.add(holder{target: t, tokens: tokens}, x.placer.settings.Crossing != nil)
 		}
 	}
 	x.addStores(found)
 	return found
 }
 
-func (h *promptHolders) add(other holder) {
+// add adds a holder, and keeps the two that hold the most, of all or of each data centre.
+func (h *promptHolders) add(other holder, ofEach bool) {
 	h.largest = append(h.largest, other)
 	slices.SortStableFunc(h.largest, func(a, b holder) int { return b.tokens - a.tokens })
-	h.largest = h.largest[:min(len(h.largest), 2)]
+	same, last := 0, 0
+	for i := range h.largest {
+		if !ofEach || h.largest[i].target.DataCentre == other.target.DataCentre {
+			same, last = same+1, i
+		}
+	}
+	if same > 2 {
+		h.largest = slices.Delete(h.largest, last, last+1)
+	}
 }
 
 // bestSource returns the source from which the target can fetch the most tokens under the same weights: another target,
@@ -103,10 +112,11 @@
 	engine := x.placer.engines[x.call.Service]
 	for _, other := range holders.largest {
 		if extra := other.tokens - cached; other.target != t && extra >= minFetchTokens {
-			best = fetchSource{
-				address: other.target.Address, tokens: extra,
-				duration: fetchOverhead + engine.transferTime(extra, other.target.DataCentre != t.DataCentre),
+			duration := fetchOverhead + engine.transferTime(extra, other.target.DataCentre != t.DataCentre)
+			if !x.mayMove(other.target.DataCentre, t.DataCentre, extra, duration) {
+				continue
 			}
+			best = fetchSource{address: other.target.Address, tokens: extra, duration: duration}
 			break
 		}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -31,6 +31,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"github.com/rosemaryrill/rosemaryrill/balancer"
 )
 
 // Target describes one incarnation of a target, as it reports itself.
@@ -77,6 +79,10 @@
 	// FirstEventLimit limits the expected time to the first event; zero means no limit. For a prompt with a long
 	// prefill, the limit rises to the prefill time plus a fraction of FirstEventLimit.
 	FirstEventLimit time.Duration
+	// Objective is the time within which the answer, or its first event, is on time; zero if there is none.
+	Objective time.Duration
+	// BodyBytes is the size of the request's body.
+	BodyBytes int
 	// TimeLeft is the time within which the call must begin; zero means no limit.
 	TimeLeft time.Duration
 }
@@ -148,6 +154,8 @@
 	// SoftwareRecorded reports whether daemons that start learn that a version of the software serves. Targets of other versions
 	// are chosen only if there is no other. Default: always.
 	SoftwareRecorded func(service, software string) bool
+	// Crossing decides which requests leave their data centre. Default: targets in other data centres have a fixed penalty.
+	Crossing Crossing
 	// Logger logs what targets say of themselves. Default: no log.
 	Logger *slog.Logger
 }
@@ -223,8 +231,13 @@
 	answerTimes map[string]*medianEstimator // by service
 	sendRates   map[string]*serviceRates    // by service
 	random      *rand.Rand
-	// scratch is the memory of the candidates of one choice after another.
+	// scratch is the memory of the candidates of one choice after another, options and groups that of Placer.chooseDataCentre.
 	scratch []candidate
+	options []balancer.Option
+	groups  [][]candidate
+	// dataCentres are the data centres of the targets by address, and dataCentreCount is their number, if Settings.Crossing is set.
+	dataCentres     map[netip.AddrPort]string
+	dataCentreCount int
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
@@ -282,6 +295,9 @@
 		p.byHash[known.hash] = known
 		known.peerWork = work{}
 	}
+	if p.settings.Crossing != nil {
+		p.groupByDataCentre()
+	}
 	for _, known := range p.peers {
 		p.addPeerWork(known.loads, identity)
 	}
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -85,18 +85,15 @@
 	return class.requests * unseen, rest * unseen, restTokens
 }
 
-// draw chooses one of the candidates. With no other daemons it is the one with the lowest cost.
+// draw chooses one of the candidates, which get a share of the unseen work. With no other daemons it is the one with the lowest cost.
 //
 // Requests that other daemons sent lately are not known yet. Those daemons also send to the targets with the lowest costs, so that
 // the unseen work fills these up to a common level. If it were left out, all daemons would send to the targets that were the
 // least loaded in the last messages. The work of other calls than this one raises the cost of targets with little load.
 // The calls of the same class are spread over the targets whose costs are below their level; the call goes to one of
 // these, with the probability with which the others do.
-func (p *Placer) draw(call Call, candidates []candidate, now time.Time) *candidate {
-	similar, rest, restTokens := p.unseenRequests(call, now)
-	if rest > 0 {
-		p.addUnseenWork(call, candidates, rest, restTokens)
-	}
+func (p *Placer) draw(call Call, candidates []candidate, share float64, now time.Time) *candidate {
+	similar, _, _ := p.unseenRequests(call, now)
 	drawn := &candidates[0]
 	for i := range candidates {
 		c := &candidates[i]
@@ -108,11 +105,11 @@
 	if similar == 0 {
 		return drawn
 	}
-	level, total := unseenLevel(candidates, similar), 0.
+	level, total := unseenLevel(candidates, share*similar), 0.
 	for i := range candidates {
-		if share := candidates[i].level.unseen(level); share > 0 {
-			total += share
-			if p.random.Float64()*total < share {
+		if unseen := candidates[i].level.unseen(level); unseen > 0 {
+			total += unseen
+			if p.random.Float64()*total < unseen {
 				drawn = &candidates[i]
 			}
 		}
@@ -128,18 +125,23 @@
 	return runningRequestPenalty + p.rates[call.Service].prefillTime(tokens)
 }
 
-// addUnseenWork raises the costs by the unseen work of other calls.
-func (p *Placer) addUnseenWork(call Call, candidates []candidate, requests float64, tokens int) {
+// addUnseenWork raises the costs by the unseen work of other calls, of which the candidates get a share.
+func (p *Placer) addUnseenWork(call Call, candidates []candidate, share float64, now time.Time) {
+	_, requests, tokens := p.unseenRequests(call, now)
+	if requests == 0 {
+		return
+	}
 	usual := float64(p.usualTime(call, tokens))
 	for i := range candidates {
 		c := &candidates[i]
 		marginal := c.marginal + c.factor*usual
 		c.level = levelled{cost: c.loadCost + marginal, marginal: marginal}
 	}
-	level := unseenLevel(candidates, requests)
+	level := unseenLevel(candidates, share*requests)
 	for i := range candidates {
 		c := &candidates[i]
-		c.cost += time.Duration(c.level.unseen(level) * c.level.marginal)
+		c.unseenTime = time.Duration(c.level.unseen(level) * c.level.marginal)
+		c.cost += c.unseenTime
 	}
 }
 
--- a/placer/stores.go
+++ b/placer/stores.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		duration := x.storeFetchTime(holder.store, t, extra)
-		if saved := x.placer.rates[x.call.Service].prefillTime(extra) - duration; saved > gain {
+		if saved := x.placer.rates[x.call.Service].prefillTime(extra) - duration; saved > gain && x.mayMove(holder.store.DataCentre, t.DataCentre, extra, duration) {
 			gain, found = saved, true
 			best = fetchSource{address: holder.store.Address, tokens: extra, duration: duration, store: holder.store}
 		}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -28,6 +28,8 @@
 	// maxObjectiveRatio bounds the expected time to the first event with which a stream is still sent, as a multiple
 	// of the route's objective.
 	maxObjectiveRatio = 1.5
+	// minObjective is the objective of a request that is late already.
+	minObjective = 10 * time.Millisecond
 	// maxResumeWait is how long a stream that broke off waits for a target, and resumeInterval the time between two choices.
 	maxResumeWait  = 2 * time.Second
 	resumeInterval = 100 * time.Millisecond
@@ -247,13 +249,22 @@
 	return max(time.Duration(maxObjectiveRatio*float64(r.route.LatencyObjective))-elapsed, minRetryAfter)
 }
 
+// objectiveLeft returns the time within which the request is on time by its route's objective, at least minObjective; zero if there
+// is none.
+func (r *relayedRequest) objectiveLeft() time.Duration {
+	if r.route.LatencyObjective <= 0 {
+		return 0
+	}
+	return max(r.route.LatencyObjective-time.Since(r.call.ArrivedAt), minObjective)
+}
+
 // placerCall describes the request to the placer.
 func (r *relayedRequest) placerCall() placer.Call {
 	prompt := r.call.Prompt
 	return placer.Call{
 		Service: r.service, Model: prompt.Model, Software: r.software, CacheNamespace: r.cacheNamespace,
 		Parts: prompt.Parts, PromptTokens: prompt.PromptTokens, OutputTokens: prompt.OutputTokens,
-		Urgency: r.urgency(), FirstEventLimit: r.firstEventLimit(),
+		Urgency: r.urgency(), FirstEventLimit: r.firstEventLimit(), Objective: r.objectiveLeft(), BodyBytes: len(r.call.Body),
 		TimeLeft: max(time.Until(r.deadline)-responseMargin, time.Nanosecond),
 	}
 }
