reserver, drainer, delegator, assembler, runner: figures and a log line of refusals for lack of room; tests

Gauges rill_request_memory_* and rill_caller_connections*, and one line in 10 s at most if something was refused.

--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -76,6 +76,7 @@
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
 	e.group.Go(func() { supervisor.Run(ctx, d.logger, "close idle", e.closeIdle) })
+	e.group.Go(func() { d.memory.Report(ctx.Done(), d.loggerFor("reserver"), e.drainer.Connections) })
 	return e
 }
 
--- a/assembler/observe.go
+++ b/assembler/observe.go
@@ -56,6 +56,9 @@
 	} {
 		group.Add(metrics.Gauge(gauge.name, gauge.description, gauge.read))
 	}
+	for _, gauge := range d.memory.Gauges(d.edge.drainer.Connections) {
+		group.Add(metrics.Gauge(gauge.Name, gauge.Description, gauge.Read))
+	}
 	return group.Err()
 }
 
--- /dev/null
+++ b/delegator/intake_test.go
@@ -0,0 +1,48 @@
+package delegator_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/delegator"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
+)
+
+// Guards against a daemon without memory whose refusal of a request reads as one that may have run (ONCE), or that reads the request first.
+func TestDaemonWithoutMemoryTakesNoRequests(t *testing.T) {
+	memory := reserver.NewMemory(1 << 20)
+	handler := delegator.NewHandler(delegator.HandlerSettings{MaxOpen: 2, Now: time.Now, Serve: echo, Memory: memory})
+	mux := http.NewServeMux()
+	mux.Handle(handler.HTTP())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	d := newDelegator(t, delegator.Daemon{Name: "full", DataCentre: "north", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	call := newCall()
+	call.Body = make([]byte, 300<<10)
+
+	held := memory.Hold("another", 1<<20)
+	_, err := d.Send(t.Context(), service, call)
+	var unsent *connector.UnsentError
+	var local *delegator.LocalRefusalError
+	if !errors.As(err, &unsent) || !errors.As(err, &local) || local.Reason != "no_memory" {
+		t.Errorf("without memory: %v", err)
+	}
+	held.Release()
+	answer, err := d.Send(t.Context(), "another service", call)
+	if err != nil || answer.Response == nil || answer.Response.Status != http.StatusTeapot {
+		t.Fatalf("with memory: %+v, %v", answer, err)
+	}
+	answer.Close()
+	for range 100 {
+		time.Sleep(10 * time.Millisecond)
+		if memory.Held() == 0 {
+			return
+		}
+	}
+	t.Errorf("%d bytes are still held", memory.Held())
+}
--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -103,17 +103,12 @@
 	return wait
 }
 
-// Displaced returns the number of connections that made room for new ones, and Refused that of new ones that were closed at once.
-func (d *Drainer) Displaced() int64 { return d.displaced.Load() }
-
-// Refused returns the number of new connections that were closed since there were too many.
-func (d *Drainer) Refused() int64 { return d.refused.Load() }
-
-// OpenConnections returns the number of connections.
-func (d *Drainer) OpenConnections() int {
+// Connections returns the number of connections that are open, that made room for new ones, and of new ones that were closed since there
+// were too many.
+func (d *Drainer) Connections() (open, displaced, refused int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.connections)
+	return int64(len(d.connections)), d.displaced.Load(), d.refused.Load()
 }
 
 // Linger sends the refusal that a handler has written, and reads for a short time what the caller goes on to send, since the reset of the
--- /dev/null
+++ b/reserver/memory_test.go
@@ -0,0 +1,166 @@
+package reserver_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryrill/rosemaryrill/reserver"
+)
+
+const (
+	// requestMemory is the memory for requests in the tests, of which a fifth is for answers.
+	requestMemory = 10 << 20
+	bodiesBytes   = requestMemory * 4 / 5
+	largeBytes    = 1 << 20
+)
+
+func acquire(t *testing.T, m *reserver.Memory, account string, bytes int, interrupt func()) *reserver.Share {
+	t.Helper()
+	share, err := m.Acquire(t.Context(), reserver.Claim{Account: account, Bytes: bytes, Interrupt: interrupt})
+	if err != nil {
+		t.Fatalf("%d bytes: %v", bytes, err)
+	}
+	return share
+}
+
+// Guards against requests that hold more than the memory for them, against memory that isn't given back, and against a request alone that is
+// refused, whatever requests ask for, keep and give back.
+func TestMemoryBoundsAllRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := reserver.NewMemory(requestMemory)
+		held := make(map[*reserver.Share]int)
+		sum := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "release") {
+				for share, bytes := range held {
+					share.Release()
+					sum -= bytes
+					delete(held, share)
+					break
+				}
+				continue
+			}
+			size := rapid.IntRange(1, 3*largeBytes).Draw(t, "bytes")
+			account := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "account"))
+			cancelled, cancel := context.WithCancel(context.Background())
+			cancel() // None of the requests has stalled for long, so there is nothing to wait for.
+			share, err := m.Acquire(cancelled, reserver.Claim{Account: account, Bytes: size})
+			var full *reserver.FullError
+			if err != nil && (!errors.As(err, &full) || full.RetryAfter <= 0) {
+				t.Fatalf("refused with %v", err)
+			}
+			if err != nil && len(held) == 0 {
+				t.Fatalf("%d bytes are refused though nothing is held", size)
+			}
+			if err == nil {
+				kept := rapid.IntRange(0, size).Draw(t, "kept")
+				share.Complete(kept)
+				held[share] = kept
+				sum += kept
+			}
+			if sum > bodiesBytes || m.Held() != int64(sum) {
+				t.Fatalf("%d bytes are held, %d are counted, there are %d", sum, m.Held(), bodiesBytes)
+			}
+		}
+		for share := range held {
+			share.Release()
+			share.Release()
+		}
+		if m.Held() != 0 {
+			t.Fatalf("%d bytes are still counted", m.Held())
+		}
+	})
+}
+
+// Guards against large requests that shut out small ones, and against an account that leaves nothing for another.
+func TestLargeRequestsLeaveRoom(t *testing.T) {
+	m := reserver.NewMemory(requestMemory)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	refused := func(account string) (count int) {
+		for range bodiesBytes / largeBytes {
+			if _, err := m.Acquire(ctx, reserver.Claim{Account: account, Bytes: largeBytes}); err != nil {
+				count++
+			}
+		}
+		return count
+	}
+	first := refused("a")
+	if second := refused("b"); first == 0 || second == bodiesBytes/largeBytes {
+		t.Errorf("%d large requests of the first account and %d of the second were refused", first, second)
+	}
+	acquire(t, m, "a", reserver.SmallBytes, nil)
+	if counts := m.Counts(); counts.Account == 0 || counts.Full == 0 || counts.Stalled != 0 {
+		t.Errorf("counted %+v", counts)
+	}
+}
+
+// Guards against requests that stop short of their end and keep others out, and against one that has arrived or goes on arriving and loses
+// its place to newer ones.
+func TestStalledRequestsLoseTheirPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := reserver.NewMemory(requestMemory)
+		interrupted := 0
+		var stalled []*reserver.Share
+		arrived := acquire(t, m, "a", largeBytes, func() { t.Error("a request that has arrived loses its place") })
+		arrived.Complete(largeBytes)
+		arriving := acquire(t, m, "a", largeBytes, func() { t.Error("a request that goes on arriving loses its place") })
+		for range 3 {
+			var share *reserver.Share
+			share = acquire(t, m, "a", largeBytes, func() { interrupted++; go share.Release() })
+			stalled = append(stalled, share)
+		}
+		for range 30 { // 100 ms at a time, while the others send nothing.
+			time.Sleep(100 * time.Millisecond)
+			arriving.Received(largeBytes / 100)
+		}
+		acquire(t, m, "b", 2*largeBytes, nil)
+		acquire(t, m, "b", largeBytes, nil).Complete(largeBytes)
+		synctest.Wait()
+		if interrupted == 0 || !stalled[0].Evicted() || arriving.Evicted() {
+			t.Errorf("%d stalled requests lost their place", interrupted)
+		}
+		if !arriving.Complete(largeBytes) || stalled[0].Complete(largeBytes) {
+			t.Error("the wrong request has kept its place")
+		}
+	})
+}
+
+// Guards against bodies that are changed, or taken as whole though they broke off, and against steps that hold more than they took.
+func TestBodiesAreReadWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		content := bytes.Repeat([]byte("0123456789abcdef!"), rapid.IntRange(0, 100_000).Draw(t, "repeats"))
+		length := rapid.SampledFrom([]int64{-1, int64(len(content))}).Draw(t, "length")
+		broken := rapid.Bool().Draw(t, "broken")
+		var source io.Reader = bytes.NewReader(content)
+		if broken {
+			source = io.MultiReader(bytes.NewReader(content[:len(content)/2]), iotest.ErrReader(io.ErrUnexpectedEOF))
+		}
+		m := reserver.NewMemory(requestMemory)
+		share, err := m.Acquire(context.Background(), reserver.Claim{Bytes: reserver.FirstBytes(length)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, err := reserver.Body{Reader: source, Length: length, Share: share}.ReadAll(context.Background())
+		complete := !broken || len(content) == 0 && length == 0
+		if complete != (err == nil) || complete && !bytes.Equal(read, content) || !complete && read != nil {
+			t.Fatalf("%d of %d bytes, %v", len(read), len(content), err)
+		}
+		if complete && m.Held() != int64(len(content)) {
+			t.Fatalf("%d bytes are counted for %d", m.Held(), len(content))
+		}
+		share.Release()
+		if m.Held() != 0 {
+			t.Fatalf("%d bytes are still counted", m.Held())
+		}
+	})
+}
--- a/runner/gauges.go
+++ b/runner/gauges.go
@@ -16,6 +16,9 @@
 	group.Add(metrics.Gauge("rill_live_daemons", "Live daemons of the data centre, this one included.",
 		func() int64 { return int64(len(d.gossip.Peers()) + 1) }))
 	group.Add(metrics.Gauge("rill_usable_targets", "Targets that may get new work.", d.usableTargets))
+	for _, gauge := range d.memory.Gauges(d.callersServer.Connections) {
+		group.Add(metrics.Gauge(gauge.Name, gauge.Description, gauge.Read))
+	}
 	return group.Err()
 }
 
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -410,6 +410,7 @@
 	d.group.Go(d.pollHosts)
 	d.group.Go(d.monitorOutages)
 	d.group.Go(d.sweepLedger)
+	d.group.Go(func() { d.memory.Report(d.stop, d.observer.Log("reserver"), d.callersServer.Connections) })
 	d.group.Go(d.commitFirstConfiguration)
 	d.group.Go(d.warmUp)
 	d.group.Go(func() { d.logServeError("callers' port", d.callersServer.Serve(d.callersListener)) })
--- a/server/server.go
+++ b/server/server.go
@@ -270,9 +270,7 @@
 }
 
 // Connections returns the number of connections that are open, that made room for others and that were closed since there were too many.
-func (s *Server) Connections() (open, displaced, refused int64) {
-	return int64(s.drainer.OpenConnections()), s.drainer.Displaced(), s.drainer.Refused()
-}
+func (s *Server) Connections() (open, displaced, refused int64) { return s.drainer.Connections() }
 
 // awaitCancelled waits until the handlers of cancelled requests have returned, which may take longer than the drain waits,
 // and until their answers are written.
