--- a/assembler/edge.go
+++ b/assembler/edge.go
@@ -65,7 +65,7 @@
 	}
 	e.drainer = drainer.New(e.callerServer, drainer.Settings{
 		AbortCause: relayer.ErrStopping, KeepAlive: keepAliveTimeout, Logger: d.loggerFor("drainer"),
-		MaxConnections: d.connections.Callers, Heads: d.memory, WriteTimeout: answerTimeout,
+		MaxConnections: d.connections.Callers, Heads: d.memory, EndStalled: d.memory.EvictStalled, WriteTimeout: answerTimeout,
 	})
 	probes := httprouter.New()
 	probes.GET("/readyz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { e.serveReady(w) })
--- a/cmd/rilld/hostile_clients_test.go
+++ b/cmd/rilld/hostile_clients_test.go
@@ -48,6 +48,7 @@
 	{"pipelined requests", "callers", 60, pipeline},
 	{"large answers not read", "callers", 60, sendBody(lookAt, hostileBody, 0, 0)},
 	{"streams not read", "callers", 60, sendBody(ask, 1<<20, 0, 0)},
+	{"small bodies one byte short", "callers", 2 * hostileDescriptors, sendBody(order, 1<<10, 1, 0)},
 	// Row 5: other listeners.
 	{"bodies of other daemons", "peers", 40, relayMessage(8<<20, 0)},
 	{"bodies of other daemons one byte short", "peers", 40, relayMessage(8<<20, 1)},
@@ -66,6 +67,7 @@
 	{"length far over the limit", "callers", 60, sendBody(chat, farOver, farOver-overSent, 0)},
 	{"long heads", "callers", 200, sendHead("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", 0)},
 	{"idle connections", "callers", 2 * hostileDescriptors, idle},
+	{"small bodies one byte short", "callers", 2 * hostileDescriptors, sendBody(chat, 1<<10, 1, 0)},
 	{"messages of peers one byte short", "peers", 60, sendBody(peerMessage, 4<<20, 1, 0)},
 	{"messages of operators one byte short", "operators", 60, sendBody(operatorMessage, 4<<20, 1, 0)},
 	{"idle connections of peers", "peers", 2 * hostileDescriptors, idle},
--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -59,14 +59,14 @@
 		return d.add(conn)
 	}
 	open := d.snapshot()
+	if len(open) >= limit-max(int(spareRatio*float64(limit)), 1) {
+		d.displace(open)
+	}
 	if len(open) >= limit {
 		d.refused.Add(1)
 		_ = conn.Close() // Nothing was read from it.
 		return nil
 	}
-	if len(open) >= limit-max(int(spareRatio*float64(limit)), 1) {
-		d.displace(open)
-	}
 	return d.add(conn)
 }
 
@@ -80,6 +80,9 @@
 		}
 	}
 	if oldest == nil {
+		if d.settings.EndStalled != nil && d.settings.EndStalled() {
+			d.displaced.Add(1)
+		}
 		return
 	}
 	oldest.mu.Lock()
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -56,6 +56,9 @@
 	// MaxConnections bounds the connections that are open at once. When it comes near, those that wait longest for a request make room for new
 	// ones; beyond it, new ones are closed. Default: no bound.
 	MaxConnections int
+	// EndStalled ends the request that has stopped arriving for longest, if there is one. It is called when the connections come near their
+	// bound and all have a request. Default: none is ended.
+	EndStalled func() bool
 	// Heads is the memory for heads of requests that are long. Default: no bound.
 	Heads HeadMemory
 	// WriteTimeout is how long a caller may leave a piece of its answer unread. Default: no bound.
--- a/reserver/memory.go
+++ b/reserver/memory.go
@@ -47,7 +47,7 @@
 	held      int64
 	large     int64
 	heads     int64
-	byAccount map[string]int64
+	byAccount map[string]accountBytes
 	// arriving are the shares of requests that have not arrived whole, and evicted is how much of them is on its way back.
 	arriving map[*Share]struct{}
 	evicted  int64
@@ -58,6 +58,9 @@
 	counts   Counts
 }
 
+// accountBytes is what the requests of one account hold, and what the large ones among them hold.
+type accountBytes struct{ all, large int64 }
+
 // Counts tell how requests for memory ended.
 type Counts struct {
 	// Full were refused since there was no room at all, and Account since their account had its part.
@@ -91,7 +94,7 @@
 	small := int64(smallRatio * float64(bodies))
 	return &Memory{
 		answers: NewBudget(answers), bodiesBytes: bodies, smallBytes: small, accountBytes: int64(accountRatio * float64(bodies-small)), headsBytes: int64(headsRatio * float64(small)),
-		now: time.Now, byAccount: make(map[string]int64), arriving: make(map[*Share]struct{}), freed: make(chan struct{}),
+		now: time.Now, byAccount: make(map[string]accountBytes), arriving: make(map[*Share]struct{}), freed: make(chan struct{}),
 	}
 }
 
@@ -174,17 +177,18 @@
 	return m.counts
 }
 
-// fits reports whether a share may grow. A request that holds or gets no more than SmallBytes may use what is kept for small ones, and one
-// that is alone may have any size. The caller holds mu.
+// fits reports whether there is room for a share that grows, and whether its account leaves room for others. A request that holds or gets no
+// more than SmallBytes may use what is kept for small ones, and one that is alone may have any size. The caller holds mu.
 func (m *Memory) fits(s *Share, bytes int64) (room, accountRoom bool) {
+	account := m.byAccount[s.account]
 	if s.held+bytes <= SmallBytes {
-		return m.held+bytes <= m.bodiesBytes, true
+		return m.held+bytes <= m.bodiesBytes, account.all+bytes <= m.bodiesBytes-m.smallBytes
 	}
 	before := s.largeBytes()
 	alone := m.large == before
 	room = alone || m.large-before+s.held+bytes <= m.bodiesBytes-m.smallBytes && m.held+bytes <= m.bodiesBytes
-	ofAccount := m.byAccount[s.account] - before
-	return room, alone || ofAccount == 0 || ofAccount+s.held+bytes <= m.accountBytes
+	ofAccount := account.large - before
+	return room, ofAccount == 0 || ofAccount+s.held+bytes <= m.accountBytes
 }
 
 // add changes what a share holds. The caller holds mu.
@@ -194,38 +198,61 @@
 	m.held += bytes
 	change := s.largeBytes() - before
 	m.large += change
-	if m.byAccount[s.account] += change; m.byAccount[s.account] == 0 {
+	account := m.byAccount[s.account]
+	account.all += bytes
+	account.large += change
+	if account.all == 0 {
 		delete(m.byAccount, s.account)
+		return
 	}
+	m.byAccount[s.account] = account
 }
 
-// evictStalled takes the places of the requests that have been behind for longest, until bytes are on their way back. It reports whether any
-// are. The caller holds mu.
-func (m *Memory) evictStalled(keep *Share, bytes int64, account string) bool {
-	now := m.now()
+// EvictStalled takes the place of the request that has been behind for longest, and reports whether there was one. It is called when something
+// else is scarce that requests hold while they arrive, such as connections.
+func (m *Memory) EvictStalled() bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evictWorst(func(*Share) bool { return true })
+}
+
+// makeRoom takes the places of stalled requests until bytes are on their way back, and reports whether any are. The caller holds mu.
+func (m *Memory) makeRoom(bytes int64, may func(*Share) bool) bool {
 	for m.evicted < bytes {
-		var worst *Share
-		for s := range m.arriving {
-			if s == keep || s.evicted || s.behindAt.After(now) || account != "" && s.account != account {
-				continue
-			}
-			if worst == nil || s.behindAt.Before(worst.behindAt) {
-				worst = s
-			}
-		}
-		if worst == nil {
+		if !m.evictWorst(may) {
 			break
 		}
-		worst.evicted = true
-		m.evicted += worst.held
-		m.counts.Stalled++
-		if worst.interrupt != nil {
-			worst.interrupts.Go(worst.interrupt) // It takes the lock of a connection.
-		}
 	}
 	return m.evicted > 0
 }
 
+// evictWorst takes the place of the request that has been behind for longest among some. The caller holds mu.
+func (m *Memory) evictWorst(may func(*Share) bool) bool {
+	now := m.now()
+	var worst *Share
+	for s := range m.arriving {
+		if s.evicted || s.behindAt.After(now) || !may(s) {
+			continue
+		}
+		if worst == nil || s.behindAt.Before(worst.behindAt) {
+			worst = s
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	worst.evicted = true
+	m.evicted += worst.held
+	m.counts.Stalled++
+	if worst.interrupt != nil {
+		worst.interrupts.Go(worst.interrupt) // It takes the lock of a connection.
+	}
+	return true
+}
+
 // signal wakes those that wait. The caller holds mu.
 func (m *Memory) signal() {
 	if m.waiting > 0 {
--- a/reserver/share.go
+++ b/reserver/share.go
@@ -53,16 +53,13 @@
 			}
 			return nil
 		}
-		account := ""
-		if room {
-			account = s.account
-		}
+		may := func(other *Share) bool { return other != s && (!room || other.account == s.account) }
 		if timeout == nil {
 			timer := time.NewTimer(evictionWait)
 			defer timer.Stop()
 			timeout = timer.C
 		}
-		if m.waiting >= maxWaiting || !m.evictStalled(s, int64(bytes), account) || !m.await(ctx, timeout) {
+		if m.waiting >= maxWaiting || !m.makeRoom(int64(bytes), may) || !m.await(ctx, timeout) {
 			if !room {
 				m.counts.Full++
 			} else {
--- a/runner/port.go
+++ b/runner/port.go
@@ -30,7 +30,7 @@
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	return internalPort{server: server, drainer: drainer.New(server, drainer.Settings{AbortCause: errStopping, Logger: log, MaxConnections: maxConnections})}
+	return internalPort{server: server, drainer: drainer.New(server, drainer.Settings{AbortCause: errStopping, Logger: log, MaxConnections: maxConnections, EndStalled: d.memory.EvictStalled})}
 }
 
 func (p internalPort) serve(listener net.Listener, encryption portTLS) error {
--- a/server/server.go
+++ b/server/server.go
@@ -191,7 +191,7 @@
 		AbortCause: errShutdown, Logger: s.settings.Log, MaxConnections: s.settings.MaxConnections, WriteTimeout: answerTimeout,
 	}
 	if s.settings.Memory != nil {
-		drain.Heads = s.settings.Memory
+		drain.Heads, drain.EndStalled = s.settings.Memory, s.settings.Memory.EvictStalled
 	}
 	s.drainer = drainer.New(s.http, drain)
 	return s, nil
