--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -61,14 +61,14 @@
 		return d.add(conn)
 	}
 	open := d.snapshot()
+	if len(open) >= limit-max(int(spareRatio*float64(limit)), 1) {
+		d.displace(open)
+	}
 	if len(open) >= limit {
 		d.refused.Add(1)
 		_ = conn.Close() // Nothing was read from it.
 		return nil
 	}
-	if len(open) >= limit-max(int(spareRatio*float64(limit)), 1) {
-		d.displace(open)
-	}
 	return d.add(conn)
 }
 
@@ -82,6 +82,9 @@
 		}
 	}
 	if oldest == nil {
+		if d.settings.EndStalled != nil && d.settings.EndStalled() {
+			d.displaced.Add(1)
+		}
 		return
 	}
 	oldest.mu.Lock()
@@ -105,17 +108,12 @@
 	return wait
 }
 
-// Displaced returns the number of connections that made room for new ones, and Refused that of new ones that were closed at once.
-func (d *Drainer) Displaced() int64 { return d.displaced.Load() }
-
-// Refused returns the number of new connections that were closed since there were too many.
-func (d *Drainer) Refused() int64 { return d.refused.Load() }
-
-// OpenConnections returns the number of connections.
-func (d *Drainer) OpenConnections() int {
+// Connections returns the number of connections that are open, that made room for new ones, and of new ones that were closed since there
+// were too many.
+func (d *Drainer) Connections() (open, displaced, refused int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.connections)
+	return int64(len(d.connections)), d.displaced.Load(), d.refused.Load()
 }
 
 // Linger sends the refusal that a handler has written, and reads for a short time what the caller goes on to send, since the reset of the
--- a/server/server.go
+++ b/server/server.go
@@ -191,7 +191,7 @@
 		AbortCause: errShutdown, Logger: s.settings.Log, MaxConnections: s.settings.MaxConnections, WriteTimeout: answerTimeout,
 	}
 	if s.settings.Memory != nil {
-		drain.Heads = s.settings.Memory
+		drain.Heads, drain.EndStalled = s.settings.Memory, s.settings.Memory.EvictStalled
 	}
 	s.drainer = drainer.New(s.http, drain)
 	return s, nil
@@ -270,9 +270,7 @@
 }
 
 // Connections returns the number of connections that are open, that made room for others and that were closed since there were too many.
-func (s *Server) Connections() (open, displaced, refused int64) {
-	return int64(s.drainer.OpenConnections()), s.drainer.Displaced(), s.drainer.Refused()
-}
+func (s *Server) Connections() (open, displaced, refused int64) { return s.drainer.Connections() }
 
 // awaitCancelled waits until the handlers of cancelled requests have returned, which may take longer than the drain waits,
 // and until their answers are written.
