assembler, loader: fair shares only where the setting hosted.fair_shares asks for them

Read in the code, not traced in a run: a daemon takes a service for overloaded when 2% of its own requests of the last second were refused or late, which a single one of ten is, and the room that it then allows grows by 3% a second. Change: the admitter is used only with hosted.fair_shares, off by default. Measured: nothing yet.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -285,9 +285,13 @@
 }
 
 func (d *Daemon) newRelayer(view *deploymentView) *relayer.Relayer {
+	var admission relayer.Admission
+	if d.hosted.Load().FairShares {
+		admission = view.admitter
+	}
 	return relayer.New(relayer.Settings{
 		Configuration: view, Placer: view.placer, Targets: d.connector, Codec: platform.Codec{}, Origins: d.origins, Delegator: d.delegation,
-		Crashes: view.attributor, Memory: d.memory.Answers(), Quotas: d.quotas, Admission: view.admitter,
+		Crashes: view.attributor, Memory: d.memory.Answers(), Quotas: d.quotas, Admission: admission,
 		RetryBudget: d.newRetryBudgets(), Logger: d.loggerFor("relayer"),
 		Tracer: d.observer.Tracer(), ContactAgeLimits: d.contactAgeLimits, Observe: d.recordOutcome,
 	})
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -153,6 +153,8 @@
 			func(s *Settings) *float64 { return &s.Hosted.RetryRatio }),
 		boundField("retry_burst", "Retries to a service by all daemons together beyond retry_ratio, over any period.",
 			func(s *Settings) *float64 { return &s.Hosted.RetryBurst }),
+		flagField("fair_shares", "Whether client accounts are held to their fair shares of overloaded services.",
+			func(s *Settings) *bool { return &s.Hosted.FairShares }),
 		boundField("cross_data_centre_gigabyte_cost", "Cost of a gigabyte between data centres, where 1 is what an answer on time is worth. Requests leave their data centre if that is worth more than it costs. 0: the bytes and the round trip are not weighed.",
 			func(s *Settings) *float64 { return &s.Hosted.CrossDataCentreGigabyteCost }),
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -129,6 +129,8 @@
 	// period, to RetryRatio times the number of its requests plus RetryBurst.
 	RetryRatio float64
 	RetryBurst float64
+	// FairShares makes the daemon hold client accounts to their fair shares of overloaded services.
+	FairShares bool
 	// CrossDataCentreGigabyteCost is the cost of a gigabyte between data centres, where 1 is what an answer on time is worth; zero if
 	// it is not to be weighed.
 	CrossDataCentreGigabyteCost float64
--- a/loader/table.go
+++ b/loader/table.go
@@ -150,6 +150,14 @@
 	}
 }
 
+func flagField(name, meaning string, valueIn func(*Settings) *bool) field {
+	return field{
+		name: name, form: "true or false", meaning: meaning,
+		read: func(node locator.Node, s *Settings) { *valueIn(s), _ = node.Bool() },
+		show: func(s *Settings) string { return strconv.FormatBool(*valueIn(s)) },
+	}
+}
+
 func positiveIntField(name, form, meaning string, highest int, valueIn func(*Settings) *int) field {
 	return field{
 		name: name, form: form, meaning: meaning,
