placer: one index of the holders for each choice

Cause: the cause of a read was looked up in a second index, which was built from all targets again for each request. Change: Choose builds the index once. Measured: tests of placer that concern the choice green; no benchmark was run.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -104,11 +104,12 @@
 		return Choice{}, &UnreachableError{Service: call.Service}
 	}
 	var best candidate
+	index := p.newHolderIndex(call, now)
 	for _, allowed := range []func(*target) bool{
 		func(t *target) bool { return t.healthy(now) && p.settings.SoftwareRecorded(t.Service, t.Software) },
 		func(t *target) bool { return !t.upgradingUntil.After(now) && !t.linkLost(now) },
 	} {
-		if best, err = p.bestCandidate(call, excluded, now, allowed); err == nil {
+		if best, err = p.bestCandidate(index, excluded, allowed); err == nil {
 			break
 		}
 	}
@@ -118,7 +119,7 @@
 	if limit := p.effectiveLimit(call, best); limit > 0 && best.expected > limit {
 		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Limit: limit}
 	}
-	sharedRead, cause := p.sharedRead(best, p.newHolderIndex(call, now))
+	sharedRead, cause := p.sharedRead(best, index)
 	return Choice{
 		SharedRead: sharedRead, ReadCause: cause,
 		Target:              best.target.snapshot(),
@@ -158,9 +159,9 @@
 
 // bestCandidate returns the candidate with the lowest cost among the allowed targets, or a NoTargetError if none of them
 // can accept the call.
-func (p *Placer) bestCandidate(call Call, excluded []string, now time.Time, allowed func(*target) bool) (best candidate, err error) {
+func (p *Placer) bestCandidate(index *holderIndex, excluded []string, allowed func(*target) bool) (best candidate, err error) {
+	call, now := index.call, index.now
 	candidates := p.scratch[:0]
-	index := p.newHolderIndex(call, now)
 	retryAfter, servedAtHome := time.Duration(0), false
 	for _, t := range p.byService[call.Service] {
 		if !p.accepts(t) || call.Software != "" && t.Software != call.Software {
