placer: home targets in the data centre of the prompt's store; saves count at its link

A copy costs its prefill time in proportion to the cache in use. Transfers count until they are expected to end, saves too, and a prompt is saved only while the store's link is free within 200 ms.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -21,7 +21,6 @@
 	slotFraction float64
 	// addedParts are the parts that the target was not known to hold before the attempt.
 	addedParts []partKey
-	fetch      *pendingFetch
 
 	mu             sync.Mutex
 	firstEventSeen bool
@@ -43,7 +42,6 @@
 	t.localWork.add(a.work)
 	t.limit.take()
 	t.startAnswerTimeout(best.expected, now)
-	a.fetch = best.beginFetch(now)
 	a.addedParts = p.recordPlacement(t, call, best, now)
 	return a
 }
@@ -72,14 +70,17 @@
 
 // recordStoreTransfers records the parts that the call fetches from a store or saves in one.
 func (p *Placer) recordStoreTransfers(t *target, call Call, best candidate, keys []partKey, now time.Time) {
+	engine := p.engines[call.Service]
 	if from := best.fetchStore; from != nil {
-		from.recordFetch(from.transferTime(p.engines[call.Service], best.fetchedTokens, t.DataCentre), now)
+		from.recordFetch(from.transferTime(engine, best.fetchedTokens, t.DataCentre), now)
+		from.begin(engine, t, best.fetchedTokens, now, now)
 		for _, key := range keys {
 			from.cached.put(key, from.cached.heldTokens(key), from.CacheTokens)
 		}
 	}
 	if best.saveStore != nil {
 		best.saveStore.recordSaves(keys, now)
+		best.saveStore.begin(engine, t, call.sharedTokens(), now.Add(best.expected), now)
 	}
 }
 
@@ -161,7 +162,6 @@
 	a.target.connectionFailures, a.target.foreignAnswers = 0, 0
 	p.answeredAt = p.settings.Now()
 	a.target.stopAnswerTimeout()
-	a.fetch.end()
 	for _, key := range a.addedParts {
 		a.target.cached.setAvailableAt(key, time.Time{})
 	}
@@ -187,7 +187,6 @@
 		remaining.pendingPrefill = PendingPrefill{}
 	}
 	a.target.localWork.add(remaining.negated())
-	a.fetch.end()
 	if a.target.localWork.requests == 0 {
 		a.target.stopAnswerTimeout() // No request of this daemon waits for an answer.
 	}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -65,10 +65,9 @@
 	prefillTokens int
 	fetchedTokens int
 	fetchFrom     netip.AddrPort
-	// fetchStore is the store of cached parts from which parts are fetched in fetchTime, and saveStore the one to which the target
+	// fetchStore is the store of cached parts from which parts are fetched, and saveStore the one to which the target
 	// should send the shared parts; nil if there is none.
 	fetchStore *partStore
-	fetchTime  time.Duration
 	saveStore  *partStore
 	// factor is how long work takes at the target, as a factor of the usual time at the targets of the service.
 	factor float64
@@ -220,12 +219,13 @@
 		return
 	}
 	for _, c := range candidates {
-		if c.fetchedTokens > 0 || c.prefillTokens < call.PromptTokens {
-			return // A target holds part of the prompt already or can fetch it.
+		if p.heldByTarget(c, call) {
+			return
 		}
 	}
+	dataCentre := p.homeDataCentre(call)
 	home := slices.MaxFunc(candidates, func(a, b candidate) int {
-		return compareScores(rendezvousScore(call, a.target), rendezvousScore(call, b.target))
+		return cmp.Or(compareLocal(a.target, b.target, dataCentre), compareScores(rendezvousScore(call, a.target), rendezvousScore(call, b.target)))
 	})
 	for i := range candidates {
 		if candidates[i].target != home.target {
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -59,12 +59,15 @@
 }
 
 // displacement returns the cost of a further copy of tokens that another target holds or will hold: the prefill time of as many
-// tokens of other prompts, which the target evicts and some caller has to wait for again. It is zero while there is room.
+// tokens of other prompts, which the target evicts for it and some caller has to wait for again. While there is room, the
+// cost is in proportion to the part of the cache in use.
 func (p *Placer) displacement(t *target, copied int) time.Duration {
-	if copied < minFetchTokens || t.cached.tokens+copied <= int(usableCacheFraction*float64(p.engines[t.Service].CacheTokens)) {
+	capacity := usableCacheFraction * float64(p.engines[t.Service].CacheTokens)
+	if copied < minFetchTokens || capacity <= 0 {
 		return 0
 	}
-	return p.rates[t.Service].prefillTime(copied)
+	used := min(float64(t.cached.tokens+copied)/capacity, 1)
+	return time.Duration(used * float64(p.rates[t.Service].prefillTime(copied)))
 }
 
 // estimatePrompt adds the time for fetching cached parts, for the prefill of the rest of the prompt and for the prefill
@@ -77,7 +80,7 @@
 	c.prefillTokens = call.PromptTokens - cached
 	source := index.bestSource(t, holders, cached)
 	if source.tokens > 0 {
-		c.fetchedTokens, c.fetchFrom, c.fetchStore, c.fetchTime = source.tokens, source.address, source.store, source.duration
+		c.fetchedTokens, c.fetchFrom, c.fetchStore = source.tokens, source.address, source.store
 		c.prefillTokens -= source.tokens
 	}
 	c.cost += p.displacement(t, holders.maxTokens-cached)
--- a/placer/stores.go
+++ b/placer/stores.go
@@ -124,11 +124,19 @@
 		found.stored = append(found.stored, storeHolder{store: store, tokens: tokens})
 		save = save && tokens < shared && !store.savePending(found.keys, x.now)
 	}
-	if save {
-		found.saveStore = x.placer.stores.home(x.call, x.now)
+	if !save {
+		return
+	}
+	home := x.placer.stores.home(x.call, x.now)
+	if home != nil && (len(x.placer.stores) < 2 || home.queueTime(x.placer.engines[x.call.Service], x.now) <= maxSaveQueue) {
+		found.saveStore = home
 	}
 }
 
+// maxSaveQueue is the time for which transfers keep a store's link busy up to which prompts are saved to it. A save can wait for the
+// next use of the prompt, and a fetch can't; engines drop saves that would wait long.
+const maxSaveQueue = 200 * time.Millisecond
+
 // bestStore returns the store from which the target gains the most time by a fetch in place of a prefill, among those that
 // hold more than the given number of tokens and at least minFetchTokens more than the target itself holds.
 func (x *holderIndex) bestStore(t *target, holders *promptHolders, more, cached int) (best fetchSource, found bool) {
--- a/placer/storework.go
+++ b/placer/storework.go
@@ -5,52 +5,35 @@
 	"time"
 )
 
-// storeWork is what is to be fetched from a store. Tokens that go to another data centre count remoteTransferFactor times.
+// storeWork is what is to be transferred from and to a store now. Tokens that go to another data centre count
+// remoteTransferFactor times.
 type storeWork struct {
-	fetches []*pendingFetch
-	// peers is the number of tokens that the other daemons are to fetch.
+	transfers []transfer
+	// peers is the number of tokens that the calls of the other daemons are to transfer.
 	peers int
 }
 
-// pendingFetch is a fetch for a call of this daemon.
-type pendingFetch struct {
-	tokens int
-	// endsAt is when the fetch is expected to end. The first event may come much later, since the engine has other prompts to
-	// read before.
-	endsAt time.Time
-	// ended is set once the call has its first event, or has ended.
-	ended bool
+// transfer is a fetch from a store, or a save, for a call of this daemon. Its time is an estimate, since engines don't tell it.
+type transfer struct {
+	tokens         int
+	beginsAt, ends time.Time
 }
 
-// beginFetch counts the fetch of a call. The result is nil if it fetches from no store.
-func (c candidate) beginFetch(now time.Time) *pendingFetch {
-	if c.fetchStore == nil {
-		return nil
-	}
-	fetch := &pendingFetch{tokens: c.fetchedTokens, endsAt: now.Add(c.fetchTime)}
-	if c.target.DataCentre != c.fetchStore.DataCentre {
-		fetch.tokens *= remoteTransferFactor
-	}
-	w := &c.fetchStore.work
-	w.fetches = slices.DeleteFunc(w.fetches, func(f *pendingFetch) bool { return !f.pending(now) })
-	w.fetches = append(w.fetches, fetch)
-	return fetch
-}
-
-func (f *pendingFetch) pending(now time.Time) bool { return !f.ended && f.endsAt.After(now) }
-
-// end stops counting the fetch.
-func (f *pendingFetch) end() {
-	if f != nil {
-		f.ended = true
+// begin counts a transfer from or to a target that begins at a time.
+func (s *partStore) begin(engine Engine, t *target, tokens int, beginsAt, now time.Time) {
+	s.work.transfers = slices.DeleteFunc(s.work.transfers, func(f transfer) bool { return !f.ends.After(now) })
+	took := s.transferTime(engine, tokens, t.DataCentre) + s.queueTime(engine, now)
+	if t.DataCentre != s.DataCentre {
+		tokens *= remoteTransferFactor
 	}
+	s.work.transfers = append(s.work.transfers, transfer{tokens: tokens, beginsAt: beginsAt, ends: beginsAt.Add(took)})
 }
 
-// local returns the number of tokens that this daemon's calls are to fetch.
+// local returns the number of tokens of this daemon's transfers that have begun and not ended.
 func (w *storeWork) local(now time.Time) (tokens int) {
-	for _, fetch := range w.fetches {
-		if fetch.pending(now) {
-			tokens += fetch.tokens
+	for _, f := range w.transfers {
+		if !f.beginsAt.After(now) && f.ends.After(now) {
+			tokens += f.tokens
 		}
 	}
 	return tokens
@@ -83,7 +66,7 @@
 	}
 }
 
-// queueTime returns the time in which the store's link transfers what all daemons are to fetch.
+// queueTime returns the time in which the store's link transfers what all daemons are to transfer.
 func (s *partStore) queueTime(engine Engine, now time.Time) time.Duration {
 	return s.transferTime(engine, s.work.local(now)+max(s.work.peers, 0), s.DataCentre)
 }
