placer: priced parts are saved to stores to which it is worth moving them

With a price for bytes between data centres, a prompt whose home store is in another data centre was sent there with each save, and never fetched. The store is now chosen for the target that was chosen, among those worth the price. Tests of placer pass; not measured.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -119,6 +119,9 @@
 		return Choice{}, &NotInTimeError{Service: call.Service, Expected: best.expected, Limit: limit}
 	}
 	sharedRead, cause := p.sharedRead(best, index)
+	if call.Model != "" && best.fetchStore == nil {
+		best.saveStore = index.saveStore(best.target, index.forVersion(best.version))
+	}
 	return Choice{
 		SharedRead: sharedRead, ReadCause: cause,
 		Target:              best.target.snapshot(),
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -87,9 +87,6 @@
 	if duplicated := holders.maxTokens - cached - source.tokens; duplicated > 0 {
 		c.cost += time.Duration(duplicatePrefillWeight * float64(p.rates[call.Service].prefillTime(duplicated)))
 	}
-	if c.fetchStore == nil {
-		c.saveStore = holders.saveStore
-	}
 	rates := p.rates[call.Service]
 	backlog := load.pendingPrefill.ahead(call.Urgency)
 	c.loadCost = float64(c.expected) + c.factor*float64(rates.prefillTime(backlog))
--- a/placer/holders.go
+++ b/placer/holders.go
@@ -46,10 +46,8 @@
 	// maxTokens is the largest number of tokens that a target holds, or will hold after the prefill of the requests
 	// sent to it.
 	maxTokens int
-	// stored are the stores that can be used now, and the tokens that each holds; saveStore is the one to which the parts
-	// should be sent, or nil.
-	stored    []storeHolder
-	saveStore *partStore
+	// stored are the stores that can be used now, and the tokens that each holds.
+	stored []storeHolder
 }
 
 type holder struct {
--- a/placer/stores.go
+++ b/placer/stores.go
@@ -111,26 +111,40 @@
 	tokens int
 }
 
-// addStores sets what the stores that can be used hold of the prompt, and to which of them it should be sent. It is sent to
-// its home unless a store holds all of it already, or it was sent so recently that the store may still report it.
+// addStores sets what the stores that can be used hold of the prompt.
 func (x *holderIndex) addStores(found *promptHolders) {
-	shared := x.call.sharedTokens()
-	save := shared >= minAnnouncedTokens
 	for _, store := range x.placer.stores {
-		if !store.usable(x.now) {
-			continue
+		if store.usable(x.now) {
+			found.stored = append(found.stored, storeHolder{store: store, tokens: x.call.cachedTokens(store.cached, found.keys)})
 		}
-		tokens := x.call.cachedTokens(store.cached, found.keys)
-		found.stored = append(found.stored, storeHolder{store: store, tokens: tokens})
-		save = save && tokens < shared && !store.savePending(found.keys, x.now)
 	}
-	if !save {
-		return
+}
+
+// saveStore returns the store to which the target should send the shared parts of the prompt, or nil: the prompt's home, unless
+// a store holds all of them already or they were sent so recently that it may still report them. Stores in other data centres count
+// only if it is worth it to move cached tokens there.
+func (x *holderIndex) saveStore(t *target, holders *promptHolders) *partStore {
+	shared := x.call.sharedTokens()
+	if shared < minAnnouncedTokens {
+		return nil
 	}
-	home := x.placer.stores.home(x.call, x.now)
-	if home != nil && (len(x.placer.stores) < 2 || home.queueTime(x.placer.engines[x.call.Service], x.now) <= maxSaveQueue) {
-		found.saveStore = home
+	engine := x.placer.engines[x.call.Service]
+	var stores storeSet
+	for _, holder := range holders.stored {
+		store := holder.store
+		if !x.mayMove(t.DataCentre, store.DataCentre, shared, store.transferTime(engine, shared, t.DataCentre)) {
+			continue
+		}
+		if holder.tokens >= shared || store.savePending(holders.keys, x.now) {
+			return nil
+		}
+		stores = append(stores, store)
 	}
+	home := stores.home(x.call, x.now)
+	if home != nil && len(x.placer.stores) > 1 && home.queueTime(engine, x.now) > maxSaveQueue {
+		return nil
+	}
+	return home
 }
 
 // maxSaveQueue is the time for which transfers keep a store's link busy up to which prompts are saved to it. A save can wait for the
--- a/placer/stores_test.go
+++ b/placer/stores_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/balancer"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
@@ -193,3 +194,28 @@
 		t.Errorf("fetched from %s, %s is in the same data centre", choice.FetchFrom, stores[0].Address)
 	}
 }
+
+// localOnly is a price at which no cached tokens move between data centres.
+type localOnly struct{ placer.Crossing }
+
+func (localOnly) Choose(balancer.Request, []balancer.Option) (index int, chosen bool) { return 0, true }
+
+func (localOnly) WorthMoving(int, time.Duration, time.Duration) bool { return false }
+func (localOnly) RecordAnswer(string)                                {}
+
+// Guards against saves that cost more than they are worth, from which no target of the data centre may fetch later.
+func TestPricedPartsAreSavedInSameDataCentre(t *testing.T) {
+	f := newFixture(t, 2)
+	f.placer = placer.New(placer.Settings{DataCentre: "north", Now: func() time.Time { return f.now }, VersionBound: versionBound, Crossing: localOnly{}})
+	f.placer.SetEngines(map[string]placer.Engine{service: {CacheTokens: 100_000, TokenBytes: 18_000, LinkBitsPerSecond: 180e9}})
+	f.placer.SetTargets(targets(2, 1))
+	f.placer.SetCacheStores(threeStores(0))
+	for i := range 12 {
+		choice := f.choose(longCall(fmt.Sprint(i)))
+		choice.Attempt.Finish()
+		if choice.SaveTo != threeStores(0)[0].Address {
+			t.Errorf("prompt %d is saved to %s, not in the target's data centre", i, choice.SaveTo)
+		}
+		f.now = f.now.Add(time.Second)
+	}
+}
