placer: a store whose state isn't heard of counts as down

While the links to a data centre are lost, its daemon still polls the store there, so nobody told the others that it is down, and engines tried to fetch from it. Its state is now told every 3 s, and 20 s of silence count as down. Tests of placer pass; not measured.

--- a/placer/stores.go
+++ b/placer/stores.go
@@ -186,7 +186,10 @@
 	// between two polls that fail, with one announcement lost.
 	storeDownTime = 16 * time.Second
 	// storeStateInterval is the time between two announcements of a store that is up, for daemons that missed one.
-	storeStateInterval = 10 * time.Second
+	storeStateInterval = 3 * time.Second
+	// storeSilenceTime is the age of the last news of a store's state beyond which the store counts as cut off. Polls of an idle
+	// store are up to 7 s apart, and a message may be lost.
+	storeSilenceTime = 20 * time.Second
 	// storeStateKey is the key of a holding that tells the state of a store in place of a part. Its tokens are the number of
 	// the store's incarnation, or zero if the store is down. Older daemons know no store with the hash and skip it.
 	storeStateKey = 0
@@ -201,12 +204,19 @@
 	downUntil time.Time
 	// incarnation is the number of the store's incarnation; zero if it is not known.
 	incarnation int
+	heardAt     time.Time
 	announcedAt time.Time
 }
 
 // usable reports whether parts can be fetched from the store and sent to it.
 func (s *partStore) usable(now time.Time) bool {
-	return s.LinkBitsPerSecond > 0 && !s.health.downUntil.After(now)
+	return s.LinkBitsPerSecond > 0 && !s.health.down(now, s.hash != onlyStoreHash)
+}
+
+// down reports whether the store is known to be down or, if its state is told, was silent for so long that it is cut off.
+func (h storeHealth) down(now time.Time, told bool) bool {
+	silent := told && h.incarnation != 0 && now.Sub(h.heardAt) > storeSilenceTime
+	return silent || h.downUntil.After(now)
 }
 
 // ObserveStorePoll records the outcome of a poll of the store with the name. It does nothing for other names, and in a
@@ -247,7 +257,7 @@
 // applyStoreState applies the state of a store and reports whether it changed. A store of another incarnation is empty.
 func (p *Placer) applyStoreState(s *partStore, incarnation int, now time.Time, reason string) (changed bool) {
 	wasUsable := s.usable(now)
-	s.health.downUntil = time.Time{}
+	s.health.downUntil, s.health.heardAt = time.Time{}, now
 	if incarnation == 0 {
 		s.health.downUntil = now.Add(storeDownTime)
 	} else {
@@ -291,7 +301,7 @@
 	now := p.settings.Now()
 	counts.Configured = len(p.stores)
 	for _, s := range p.stores {
-		if s.health.downUntil.After(now) {
+		if s.health.down(now, s.hash != onlyStoreHash) {
 			counts.Down++
 		}
 	}
