placer, broadcaster: daemons tell each other how long work takes at targets

Cause: a daemon of 58 hears of each of 90 engines every 7 s, while the reported factor changes within 600 ms.

What they know fades as it does here, so that a factor that stays is told again. An older daemon skips the field. Where targets report no factor, nothing is sent.

--- a/broadcaster/limit_test.go
+++ b/broadcaster/limit_test.go
@@ -9,12 +9,12 @@
 	"github.com/rosemaryrill/rosemaryrill/placer"
 )
 
-func TestRateLimitsAreEncoded(t *testing.T) {
+func TestRateLimitsAndWorkFactorsAreEncoded(t *testing.T) {
 	want := broadcaster.Message{Sender: "d1", Update: placer.PeerUpdate{RateLimits: []placer.RateLimit{
 		{Target: 1 << 63, Limited: true, PerSecond: 2.5, Age: time.Second},
 		{Target: 2, Limited: true},
 		{Target: 3, Age: 50 * time.Millisecond},
-	}}}
+	}, WorkFactors: []placer.WorkFactor{{Target: 1 << 63, WorkPercent: 250, Age: 40 * time.Millisecond}, {Target: 2, WorkPercent: 60}}}}
 	if decoded, err := broadcaster.Decode(want.Encode()[0]); err != nil || !reflect.DeepEqual(decoded, want) {
 		t.Errorf("decoded %+v, %v", decoded, err)
 	}
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -45,6 +45,9 @@
 	// fieldHoldingsWanted is the number of holdings that the sender wants of the receiver, which are told in holdings.
 	fieldHoldingsWanted protowire.Number = 19
 
+	// fieldWorkFactor is how long work takes at a target. Its submessage has the percentage as fieldRequestCount.
+	fieldWorkFactor protowire.Number = 20
+
 	fieldTarget        protowire.Number = 1
 	fieldRequestCount  protowire.Number = 2
 	fieldKVCacheTokens protowire.Number = 3
@@ -142,6 +145,9 @@
 	for _, limit := range m.Update.RateLimits {
 		datagram = appendVarints(datagram, fieldRateLimit, uint64(limit.Target), limitNumber(limit), milliseconds(limit.Age))
 	}
+	for _, factor := range m.Update.WorkFactors {
+		datagram = appendVarints(datagram, fieldWorkFactor, uint64(factor.Target), uint64(max(factor.WorkPercent, 0)), milliseconds(factor.Age))
+	}
 	for _, incarnation := range m.Update.Departures {
 		datagram = appendVarints(datagram, fieldDeparture, uint64(incarnation))
 	}
@@ -342,6 +348,10 @@
 		update.Strikes = append(update.Strikes, s.strike())
 	case fieldRateLimit:
 		update.RateLimits = append(update.RateLimits, s.rateLimit())
+	case fieldWorkFactor:
+		update.WorkFactors = append(update.WorkFactors, placer.WorkFactor{
+			Target: placer.TargetHash(s.numbers[fieldTarget]), WorkPercent: s.count(fieldRequestCount), Age: s.age(),
+		})
 	case fieldDeparture:
 		update.Departures = append(update.Departures, placer.TargetHash(s.numbers[fieldTarget]))
 	case fieldCompletion:
--- a/broadcaster/news.go
+++ b/broadcaster/news.go
@@ -12,7 +12,9 @@
 	maxQueuedStrikes     = 512
 	maxQueuedCompletions = 512
 	maxQueuedLimits      = 512
-	maxQueuedDepartures  = 512
+	// maxQueuedFactors is small, since factors that wait lose their worth.
+	maxQueuedFactors    = 64
+	maxQueuedDepartures = 512
 )
 
 // joined is a bounded list of changes, with one change for each key.
@@ -59,6 +61,7 @@
 	completions joined[attributor.Cause, attributor.Completion]
 	limits      joined[placer.TargetHash, placer.RateLimit]
 	departures  joined[placer.TargetHash, placer.TargetHash]
+	factors     joined[placer.TargetHash, placer.WorkFactor]
 }
 
 func newNews() *news {
@@ -67,6 +70,7 @@
 		strikes:     newJoined[strikeKey, attributor.Strike](maxQueuedStrikes),
 		completions: newJoined[attributor.Cause, attributor.Completion](maxQueuedCompletions),
 		limits:      newJoined[placer.TargetHash, placer.RateLimit](maxQueuedLimits),
+		factors:     newJoined[placer.TargetHash, placer.WorkFactor](maxQueuedFactors),
 		departures:  newJoined[placer.TargetHash, placer.TargetHash](maxQueuedDepartures),
 	}
 }
@@ -85,6 +89,9 @@
 	for _, l := range update.RateLimits {
 		n.limits.add(l.Target, l, latestLimit)
 	}
+	for _, f := range update.WorkFactors {
+		n.factors.add(f.Target, f, latestFactor)
+	}
 	for _, incarnation := range update.Departures {
 		n.departures.add(incarnation, incarnation, last)
 	}
@@ -94,7 +101,7 @@
 func (n *news) fill(update *placer.PeerUpdate) {
 	update.Holdings, update.Strikes = n.holdings.changes, n.strikes.changes
 	update.Completions, update.RateLimits = n.completions.changes, n.limits.changes
-	update.Departures = n.departures.changes
+	update.Departures, update.WorkFactors = n.departures.changes, n.factors.changes
 }
 
 func last[V any](_, further V) V { return further }
@@ -113,6 +120,13 @@
 	return known
 }
 
+func latestFactor(known, further placer.WorkFactor) placer.WorkFactor {
+	if further.Age <= known.Age {
+		return further
+	}
+	return known
+}
+
 func latestLimit(known, further placer.RateLimit) placer.RateLimit {
 	if further.Age <= known.Age {
 		return further
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -249,6 +249,7 @@
 func (a *Attempt) RecordLoad(report LoadReport) {
 	a.updateTarget(func(t *target, now time.Time) {
 		t.recordLoad(report, now)
+		a.placer.noteFactor(t, report, now)
 		a.placer.recordAnswer(t)
 	})
 }
--- a/placer/crossing_test.go
+++ b/placer/crossing_test.go
@@ -31,7 +31,7 @@
 }
 
 func (c *fakeCrossing) WorthMoving(int, time.Duration, time.Duration) bool { return false }
-func (c *fakeCrossing) RecordAnswer(dataCentre string) { c.answers = append(c.answers, dataCentre) }
+func (c *fakeCrossing) RecordAnswer(dataCentre string)                     { c.answers = append(c.answers, dataCentre) }
 
 func (c *fakeCrossing) RecordFailure(dataCentre string) { c.failures = append(c.failures, dataCentre) }
 
--- a/placer/herding_test.go
+++ b/placer/herding_test.go
@@ -44,6 +44,7 @@
 	firstEvents []float64
 	late        int
 	peaks       []float64
+	factors     int
 }
 
 func newSimulation(lasting []float64, noise, reports bool) *simulation {
@@ -102,19 +103,24 @@
 	const interval, delay = 60 * time.Millisecond, 100 * time.Millisecond
 	sums := make(map[placer.TargetHash]placer.Load)
 	updates := make([]placer.PeerUpdate, len(s.placers))
+	var factors []placer.WorkFactor
 	for i, p := range s.placers {
 		updates[i] = p.Export()
+		factors = append(factors, updates[i].WorkFactors...)
 		for _, load := range updates[i].Loads {
 			sums[load.Target] = sums[load.Target].Plus(load)
 		}
 	}
 	s.after(delay, func() {
+		for i := range factors {
+			factors[i].Age += delay
+		}
 		for i, p := range s.placers {
 			own := make(map[placer.TargetHash]placer.Load)
 			for _, load := range updates[i].Loads {
 				own[load.Target] = load
 			}
-			var others placer.PeerUpdate
+			others := placer.PeerUpdate{WorkFactors: factors}
 			for target, load := range sums {
 				others.Loads = append(others.Loads, load.Minus(own[target]))
 			}
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -83,6 +83,8 @@
 	Strikes           []attributor.Strike
 	Completions       []attributor.Completion
 	RateLimits        []RateLimit
+	// WorkFactors are what targets reported of how long work takes there, if that changed.
+	WorkFactors []WorkFactor
 	// Departures are the incarnations that said that they are leaving.
 	Departures []TargetHash
 	// AccountDemands and ServiceSupplies are absent from most updates. Those last received remain valid for a while.
@@ -92,10 +94,11 @@
 	UpgradePlan UpgradePlan
 }
 
-// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits, departures, demands or targets that
-// are being upgraded. An update with only the rest, such as announced versions, need not be sent, since the next update contains it too.
+// Empty reports whether the update contains no loads, holdings, strikes, completions, rate limits, work factors, departures, demands or
+// targets that are being upgraded. An update with only the rest, such as announced versions, need not be sent, since the next update
+// contains it too.
 func (u PeerUpdate) Empty() bool {
-	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.Completions) == 0 && len(u.RateLimits) == 0 &&
+	return len(u.Loads) == 0 && len(u.Holdings) == 0 && len(u.Strikes) == 0 && len(u.Completions) == 0 && len(u.RateLimits) == 0 && len(u.WorkFactors) == 0 &&
 		len(u.Departures) == 0 && len(u.AccountDemands) == 0 && len(u.ServiceSupplies) == 0 && len(u.UpgradePlan.Upgrading) == 0
 }
 
@@ -151,6 +154,7 @@
 	update.Holdings = p.pendingHoldings
 	p.pendingHoldings = nil
 	update.RateLimits = p.exportLimits(now)
+	update.WorkFactors = p.exportFactors(now)
 	update.Departures = p.exportDepartures(now)
 	return update
 }
@@ -164,6 +168,7 @@
 	now := p.settings.Now()
 	p.replacePeerWork(name, update, now)
 	p.importLimits(update.RateLimits, now)
+	p.importFactors(update.WorkFactors, now)
 	for _, incarnation := range update.Departures {
 		p.addDeparture(incarnation, false)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -238,6 +238,8 @@
 	// dataCentres are the data centres of the targets by address, and dataCentreCount is their number, if Settings.Crossing is set.
 	dataCentres     map[netip.AddrPort]string
 	dataCentreCount int
+	// changedFactors are the targets whose last reports are news to the peers.
+	changedFactors []*target
 	// peerNames are the names of the other daemons, as last set by SetPeers.
 	peerNames []string
 	// pendingHoldings are parts that are not yet announced to the peers.
--- a/placer/speed.go
+++ b/placer/speed.go
@@ -46,6 +46,10 @@
 	// reported is the last reported factor.
 	reported   float64
 	reportedAt time.Time
+	// shared is the last report that peers know too, and changed is set while the last report waits to be told to them.
+	shared   float64
+	sharedAt time.Time
+	changed  bool
 	// logSum is the weighted sum of the logarithms of the ratios between measured and expected times, and sampleWeight their
 	// number.
 	logSum, sampleWeight float64
