placer, broadcaster: a factor is news by what peers expected before it

Cause: a report was compared with the mean that already contained it, so that the first report of 250% for an incarnation was not told (new test TestWorkFactorsAreTold, red before). Large fleets would have sent up to 19 KB/s of factors to each daemon: now 4 a message, 8 for an aggregator.

Tests of the speed of a target: a lasting speed counts once, a report fades, a slow target without a model gets fewer requests.

--- a/broadcaster/news.go
+++ b/broadcaster/news.go
@@ -12,8 +12,8 @@
 	maxQueuedStrikes     = 512
 	maxQueuedCompletions = 512
 	maxQueuedLimits      = 512
-	// maxQueuedFactors is small, since factors that wait lose their worth.
-	maxQueuedFactors    = 64
+	// maxQueuedFactors is small, since factors that wait lose their worth, and large fleets have many.
+	maxQueuedFactors    = 8
 	maxQueuedDepartures = 512
 )
 
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -248,8 +248,8 @@
 // RecordLoad records the load that the target reports.
 func (a *Attempt) RecordLoad(report LoadReport) {
 	a.updateTarget(func(t *target, now time.Time) {
-		t.recordLoad(report, now)
 		a.placer.noteFactor(t, report, now)
+		t.recordLoad(report, now)
 		a.placer.recordAnswer(t)
 	})
 }
--- a/placer/factors.go
+++ b/placer/factors.go
@@ -9,7 +9,7 @@
 	// announcedChange is by how much a reported factor must differ from what peers know to be announced, as a ratio.
 	announcedChange = 1.5
 	// maxAnnouncedFactors bounds the factors in one message. Others are announced in the next ones.
-	maxAnnouncedFactors = 16
+	maxAnnouncedFactors = 4
 	// maxFactorAge is the age from which a report is not announced any more.
 	maxFactorAge = 500 * time.Millisecond
 )
@@ -22,14 +22,13 @@
 	Age time.Duration
 }
 
-// differs reports whether a reported factor is news to peers that know another one. What they know fades like what this daemon
-// knows.
-func (s *speed) differs(now time.Time) bool {
+// differs reports whether a factor that was just reported is news to the peers. What they know fades like what this daemon knows.
+func (s *speed) differs(reported float64, now time.Time) bool {
 	known := s.meanReport()
 	if !s.sharedAt.IsZero() && now.Sub(s.sharedAt) < forgottenReportAge {
 		known += (s.shared - known) * math.Exp(-float64(now.Sub(s.sharedAt))/float64(momentaryDecay))
 	}
-	ratio := s.reported / known
+	ratio := reported / known
 	return ratio > announcedChange || ratio < 1/announcedChange
 }
 
@@ -53,9 +52,9 @@
 	return factors
 }
 
-// noteFactor queues a report of the target for the peers if it is news to them.
+// noteFactor queues a report of the target for the peers if it is news to them. It must be called before the report is recorded.
 func (p *Placer) noteFactor(t *target, report LoadReport, now time.Time) {
-	if report.WorkPercent > 0 && p.daemonCount() > 1 && !t.speed.changed && t.speed.differs(now) {
+	if report.WorkPercent > 0 && p.daemonCount() > 1 && !t.speed.changed && t.speed.differs(float64(report.WorkPercent)/percent, now) {
 		t.speed.changed = true
 		p.changedFactors = append(p.changedFactors, t)
 	}
