balancer, loader: the price of cached parts between data centres is a setting of its own

Cause: at the price of callers' bytes no cached part would ever move (1,030 times an answer on time for 13,300 tokens at 4,200 a gigabyte), though engines may use another network. Default 0: not weighed.

--- a/assembler/crossing.go
+++ b/assembler/crossing.go
@@ -16,7 +16,8 @@
 	}
 	return balancer.New(balancer.Settings{
 		DataCentre: d.settings.DataCentre, Now: time.Now,
-		GigabyteCost: func() float64 { return d.hosted.Load().CrossDataCentreGigabyteCost }, Logger: d.loggerFor("balancer"),
+		GigabyteCost:      func() float64 { return d.hosted.Load().CrossDataCentreGigabyteCost },
+		CacheGigabyteCost: func() float64 { return d.hosted.Load().CrossDataCentreCacheGigabyteCost }, Logger: d.loggerFor("balancer"),
 		Observe: func(dataCentre string, reason balancer.Reason, bytes int) {
 			d.observer.Metrics().CountCrossing(dataCentre, string(reason), bytes)
 		},
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -59,13 +59,15 @@
 	ReasonNotServed Reason = "not_served_at_home"
 )
 
-// Settings are the parameters of a Balancer. Logger and Observe are optional.
+// Settings are the parameters of a Balancer. CacheGigabyteCost, Logger and Observe are optional.
 type Settings struct {
 	// DataCentre is the data centre of the daemon.
 	DataCentre string
 	// GigabyteCost is the cost of a gigabyte between data centres, where 1 is what an answer on time is worth.
 	GigabyteCost func() float64
-	Now          func() time.Time
+	// CacheGigabyteCost is that of a gigabyte of cached parts of prompts, which engines move. Default: none.
+	CacheGigabyteCost func() float64
+	Now               func() time.Time
 	// Logger logs when this daemon begins and ceases to send to a data centre.
 	Logger *slog.Logger
 	// Observe is called with each request that leaves the data centre.
@@ -85,6 +87,9 @@
 	if settings.Logger == nil {
 		settings.Logger = slog.New(slog.DiscardHandler)
 	}
+	if settings.CacheGigabyteCost == nil {
+		settings.CacheGigabyteCost = func() float64 { return 0 }
+	}
 	if settings.Observe == nil {
 		settings.Observe = func(string, Reason, int) {}
 	}
@@ -124,10 +129,11 @@
 	return known
 }
 
-// WorthMoving reports whether it is worth its cost to move bytes between data centres for a request that is answered earlier by
-// the saved time.
+// WorthMoving reports whether it is worth its cost that an engine fetches bytes of cached parts from another data centre, for a request
+// that is answered earlier by the saved time.
 func (b *Balancer) WorthMoving(bytes int, saved, objective time.Duration) bool {
-	return slowLoss*ratio(saved, objective) > b.cost(bytes)
+	cost := b.settings.CacheGigabyteCost()
+	return cost == 0 || slowLoss*ratio(saved, objective) > cost*float64(bytes)/gigabyte
 }
 
 const gigabyte = 1e9
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -132,6 +132,8 @@
 	// CrossDataCentreGigabyteCost is the cost of a gigabyte between data centres, where 1 is what an answer on time is worth; zero if
 	// it is not to be weighed.
 	CrossDataCentreGigabyteCost float64
+	// CrossDataCentreCacheGigabyteCost is the same for cached parts of prompts that engines move, which may use another network.
+	CrossDataCentreCacheGigabyteCost float64
 }
 
 // LogFormat is the format of log lines.
