--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -208,8 +208,10 @@
 }
 
 // Refund implements relayer.Quotas.
-func (a *Allocator) Refund(account *cataloger.Account, amount float64) {
-	a.step(func(node *Node, now clocker.Instant) { node.Refund(HashAccount(account.Name), units(amount), now) })
+func (a *Allocator) Refund(account *cataloger.Account, amount float64, held time.Duration) {
+	a.step(func(node *Node, now clocker.Instant) {
+		node.Refund(HashAccount(account.Name), units(amount), held, now)
+	})
 }
 
 // units returns an amount as whole units.
--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -15,6 +15,8 @@
 	loss := rapid.Float64Range(0, 0.3).Draw(t, "loss")
 	late := rapid.Float64Range(0, 0.1).Draw(t, "late")
 	s.doubled = rapid.Float64Range(0, 0.3).Draw(t, "doubled")
+	s.rejected = rapid.Float64Range(0, 0.5).Draw(t, "rejected")
+	s.repeated = rapid.Float64Range(0, 0.1).Draw(t, "repeated")
 	blocked := make(map[[2]*simulatedNode]bool)
 	s.lost = func(from, to *simulatedNode) bool {
 		return blocked[[2]*simulatedNode{from, to}] || s.random.Float64() < loss
--- a/allocator/node.go
+++ b/allocator/node.go
@@ -227,10 +227,11 @@
 	}
 }
 
-// Refund gives back units that were not used.
-func (n *Node) Refund(hash AccountHash, amount uint64, now clocker.Instant) {
+// Refund gives back units that were not used and were held for a time. They have lapsed after lotLifetime, as unused units do: if
+// many requests were rejected together after long waits, the use after that would exceed the quota.
+func (n *Node) Refund(hash AccountHash, amount uint64, held time.Duration, now clocker.Instant) {
 	n.advanceClock(now)
-	if a := n.accounts[hash]; a != nil {
+	if a := n.accounts[hash]; a != nil && held <= lotLifetime {
 		n.refund(a, amount)
 	}
 }
--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -30,9 +30,11 @@
 	lost    func(from, to *simulatedNode) bool
 	doubled float64
 	// uses are the granted amounts, and refusals and bytes are counted.
-	uses     []use
-	refusals int
-	bytes    int
+	uses []use
+	// rejected is the probability that no target runs a granted request, which is known after a while, and repeated that it runs twice.
+	rejected, repeated float64
+	refusals           int
+	bytes              int
 	// slowest is the longest wait of a granted request.
 	slowest time.Duration
 }
@@ -222,11 +224,30 @@
 			continue
 		}
 		s.slowest = max(s.slowest, s.now.Sub(request.since))
+		if s.random.Float64() < s.rejected {
+			s.reject(node, request)
+			continue
+		}
 		s.uses = append(s.uses, use{at: s.now, account: request.account, amount: request.amount})
+		if s.random.Float64() < s.repeated {
+			node.Charge(allocator.HashAccount(request.account), request.amount, s.clock(node))
+			s.uses = append(s.uses, use{at: s.now, account: request.account, amount: request.amount})
+		}
 	}
 	node.pending = open
 }
 
+// reject refunds a request up to 3 s later, unless its daemon has ended.
+func (s *simulation) reject(node *simulatedNode, request pendingRequest) {
+	held, process := time.Duration(s.random.Int64N(int64(3*time.Second))), node.Node
+	s.after(held, func() {
+		if node.Node == process && !node.down && s.now >= node.pausedUntil {
+			node.Refund(allocator.HashAccount(request.account), request.amount, held, s.clock(node))
+			s.step(node)
+		}
+	})
+}
+
 // load sends requests of an account at a rate, in units per second, to some nodes for a time. Their intervals are random.
 func (s *simulation) load(account string, rate float64, amount func() uint64, nodes []*simulatedNode, duration time.Duration) {
 	end := s.now.Add(duration)
--- a/relayer/quota.go
+++ b/relayer/quota.go
@@ -17,8 +17,9 @@
 	Acquire(ctx context.Context, account *cataloger.Account, amount float64) error
 	// Charge takes an amount without a check, for a further attempt of a request that may have run. It may leave a debt.
 	Charge(account *cataloger.Account, amount float64)
-	// Refund gives back what Acquire or Charge took for an attempt that no target has run.
-	Refund(account *cataloger.Account, amount float64)
+	// Refund gives back what Acquire or Charge took for an attempt that no target has run. held is the time since then: what was
+	// taken long ago can't be used later without that the use of some seconds exceeds the quota.
+	Refund(account *cataloger.Account, amount float64, held time.Duration)
 }
 
 // QuotaError reports that the quota of an account does not allow for a request now.
@@ -46,14 +47,14 @@
 	cost := r.account.Quota.Cost(r.call.Prompt.PromptTokens+r.call.Prompt.MaxOutputTokens, r.call.Prompt.TokensCounted)
 	if r.runs > 0 {
 		quotas.Charge(r.account, cost)
-		r.charged, r.chargedCost = r.account, cost
+		r.noteCharge(cost)
 		return nil
 	}
 	err := quotas.Acquire(ctx, r.account, cost)
 	var exceeded *QuotaError
 	switch {
 	case err == nil:
-		r.charged, r.chargedCost = r.account, cost
+		r.noteCharge(cost)
 		return nil
 	case errors.As(err, &exceeded):
 		r.cause = err
@@ -63,13 +64,18 @@
 	return unavailable(ReasonQuota, quotaRetryAfter)
 }
 
+// noteCharge remembers what to give back if no target runs the request from now on.
+func (r *relayedRequest) noteCharge(cost float64) {
+	r.charged, r.chargedCost, r.chargedAt, r.chargedRuns = r.account, cost, time.Now(), r.runs
+}
+
 // spendQuota makes the cost that acquireQuota took final, since a target may have run the request.
 func (r *relayedRequest) spendQuota() { r.charged = nil }
 
 // refundQuota gives back what acquireQuota took if no target has run the request.
 func (r *relayedRequest) refundQuota() {
-	if r.charged != nil {
-		r.relayer.settings.Quotas.Refund(r.charged, r.chargedCost)
-		r.charged = nil
+	if r.charged != nil && r.runs == r.chargedRuns {
+		r.relayer.settings.Quotas.Refund(r.charged, r.chargedCost, time.Since(r.chargedAt))
 	}
+	r.charged = nil
 }
--- a/relayer/quota_test.go
+++ b/relayer/quota_test.go
@@ -32,7 +32,9 @@
 }
 
 func (q *quotaLog) Charge(_ *cataloger.Account, amount float64) { q.note("charge", amount) }
-func (q *quotaLog) Refund(_ *cataloger.Account, amount float64) { q.note("refund", amount) }
+func (q *quotaLog) Refund(_ *cataloger.Account, amount float64, _ time.Duration) {
+	q.note("refund", amount)
+}
 
 // newQuotaHarness returns a harness whose account has a quota in tokens.
 func newQuotaHarness(behaviours ...targetBehaviour) (*harness, *quotaLog) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -51,8 +51,11 @@
 	cacheNamespace string
 
 	// charged is the account whose quota was charged for an attempt that no target has run yet, and chargedCost by how much.
+	// chargedAt is when, and chargedRuns is the value of runs then.
 	charged     *cataloger.Account
 	chargedCost float64
+	chargedAt   time.Time
+	chargedRuns int
 
 	// shareAsked is set once Admission was asked, and admitted is the request as it was admitted, until its outcome is recorded.
 	shareAsked bool
