allocator: messages fit into a packet; idle claims are forgotten

Cause: 24 accounts with 24 needs each made datagrams of several packets, and a root kept a claim for each account and daemon for ever (86 MB at 18,000 accounts and 24 data centres, computed). Change: messages are split by needs; claims end 10 s after the last want.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -73,6 +73,8 @@
 	unseenSince clocker.Instant
 	// debtMark and aheadMark are the totals after the last grant for a debt and ahead.
 	debtMark, aheadMark uint64
+	// wantedAt is when the daemon last wanted something.
+	wantedAt clocker.Instant
 	// decided are the needs that were granted or refused and that the daemon still tells.
 	decided map[uint64]decision
 }
@@ -308,7 +310,14 @@
 		return
 	}
 	a.give(e.claim, e.amount, now)
-	e.claim.decided[e.idThere] = decision{grantedTotal: e.claim.total}
+	e.claim.decide(e.idThere, decision{grantedTotal: e.claim.total})
+}
+
+func (c *claim) decide(id uint64, decided decision) {
+	if c.decided == nil {
+		c.decided = make(map[uint64]decision)
+	}
+	c.decided[id] = decided
 }
 
 // give numbers further units for another daemon.
@@ -334,7 +343,7 @@
 		close(e.waiter.Done)
 		return
 	}
-	e.claim.decided[e.idThere] = decision{retryAfter: retryAfter}
+	e.claim.decide(e.idThere, decision{retryAfter: retryAfter})
 	e.claim.child.changed(e.claim)
 }
 
--- a/allocator/exchange.go
+++ b/allocator/exchange.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -122,13 +123,24 @@
 		}
 	}
 	for first := true; first || len(wants) > 0; first = false {
-		part := wants[:min(len(wants), maxWants)]
-		wants = wants[len(part):]
+		var part []Want
+		part, wants = split(wants, func(want Want) int { return len(want.Needs) })
 		messages = append(messages, n.message(n.parent, Message{Share: n.share(), Wants: part}))
 	}
 	return messages
 }
 
+// split returns the items that fit into one message and the others. An item has a size and a number of parts.
+func split[T any](items []T, parts func(T) int) (first, rest []T) {
+	size := 0
+	for i, item := range items {
+		if size += itemParts + parts(item); i > 0 && size > maxParts {
+			return items[:i], items[i:]
+		}
+	}
+	return items, nil
+}
+
 // want returns what is wanted of an account.
 func (n *Node) want(a *account) Want {
 	want := Want{Account: a.hash, Seen: n.parent.seen[a.hash], Debt: a.debt}
@@ -220,6 +232,7 @@
 	}
 	claim := c.claim(want.Account)
 	claim.observe(want.Seen, n.now)
+	claim.wantedAt = n.now
 	c.changed(claim)
 	a.fill(n.terms)
 	if want.Debt > 0 && want.Seen >= claim.debtMark {
@@ -358,8 +371,8 @@
 		c.replyDue = false
 		clear(c.due)
 		for first := true; first || len(grants) > 0; first = false {
-			part := grants[:min(len(grants), maxWants)]
-			grants = grants[len(part):]
+			var part []Grant
+			part, grants = split(grants, func(grant Grant) int { return len(grant.Refusals) })
 			messages = append(messages, Outgoing{To: c.name, Message: Message{
 				Sender: n.settings.Incarnation, Receiver: c.incarnation, SentAt: n.nextStamp(), Echo: c.sentAt, Reply: true, Leaving: n.leaving, Grants: part,
 			}})
@@ -368,11 +381,16 @@
 	return messages
 }
 
-// forgetChildren forgets incarnations that have been silent for long.
+// forgetChildren forgets incarnations that have been silent for long, and claims that have not been used lately.
 func (n *Node) forgetChildren() {
+	if n.now.Sub(n.sweptAt) < claimRetention {
+		return
+	}
+	n.sweptAt = n.now
 	for incarnation, c := range n.children {
 		if n.now.Sub(c.heardAt) > childRetention {
 			delete(n.children, incarnation)
 		}
+		maps.DeleteFunc(c.claims, func(_ AccountHash, known *claim) bool { return n.now.Sub(known.wantedAt) > claimRetention })
 	}
 }
--- a/allocator/message_test.go
+++ b/allocator/message_test.go
@@ -58,7 +58,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(allocator.Message{Sender: 1, SentAt: 2, Wants: []allocator.Want{{Account: 3, Needs: []allocator.Need{{ID: 1, Amount: 2}}}}}.Encode())
 	f.Add(allocator.Message{Sender: 1, SentAt: 2, Reply: true, Grants: []allocator.Grant{{Account: 3, Total: 9, Refusals: []allocator.Refusal{{ID: 1}}}}}.Encode())
-	f.Fuzz(func(t *testing.T, encoded []byte) {
+	f.Fuzz(func(_ *testing.T, encoded []byte) {
 		message, err := allocator.Decode(encoded)
 		if err != nil {
 			return
--- a/allocator/node.go
+++ b/allocator/node.go
@@ -28,8 +28,10 @@
 	creationStep = time.Millisecond
 	// maxEchoAge is the age, by the own clock, of the message that a daemon must have received for its wishes to count.
 	maxEchoAge = time.Second
-	// maxWants is the number of accounts in a message, which then fits into one packet.
-	maxWants = 24
+	// maxParts is the number of needs or refusals in a message, which then fits into one packet, and itemParts is how many of them
+	// the rest of a want or a grant is as large as.
+	maxParts  = 120
+	itemParts = 4
 	// settleStep is the change of a coordinator's share upon which all buckets are filled by the old one.
 	settleStep = 0.02
 	// queueWake is the longest time between two calls of Advance while requests wait.
@@ -76,6 +78,8 @@
 	parent         *coordinator
 	searchingSince clocker.Instant
 	children       map[uint64]*child
+	// sweptAt is when old children and claims were last forgotten.
+	sweptAt clocker.Instant
 
 	// createdAt is up to when fleet time was created. created is set once the daemon has created some.
 	createdAt clocker.Instant
--- a/allocator/peer.go
+++ b/allocator/peer.go
@@ -26,6 +26,8 @@
 	// maxChildren bounds the incarnations of other daemons that are remembered, and childRetention is how long they are.
 	maxChildren    = 4096
 	childRetention = 10 * time.Minute
+	// claimRetention is how long the numbers of granted units are remembered after the last want. The next want names them again.
+	claimRetention = 10 * time.Second
 )
 
 // Peer is another daemon.
@@ -125,7 +127,7 @@
 func (c *child) claim(hash AccountHash) *claim {
 	known := c.claims[hash]
 	if known == nil {
-		known = &claim{child: c, account: hash, decided: make(map[uint64]decision)}
+		known = &claim{child: c, account: hash}
 		c.claims[hash] = known
 	}
 	return known
