--- a/reserver/memory_test.go
+++ b/reserver/memory_test.go
@@ -164,3 +164,21 @@
 		}
 	})
 }
+
+// Guards against a largest legal request that is refused though no other is there, on the smallest hosts and with the defaults.
+func TestLargestRequestAloneIsServed(t *testing.T) {
+	for _, c := range []struct {
+		memory       float64
+		body, copies int
+	}{{112e6, 4_194_304, 1}, {134e6, 4_194_304, 1}, {1 << 30, 16 << 20, 3}, {64e6, 16 << 20, 3}} {
+		for _, length := range []int64{int64(c.body), -1} {
+			m := reserver.NewMemory(reserver.RequestBytes(c.memory))
+			share := acquire(t, m, "", c.copies*reserver.FirstBytes(length), nil)
+			body := reserver.Body{Reader: bytes.NewReader(make([]byte, c.body)), Length: length, Copies: c.copies, Share: share}
+			if _, err := body.ReadAll(t.Context()); err != nil {
+				t.Errorf("memory of %.0f bytes, body of %d: %v", c.memory, c.body, err)
+			}
+			share.Release()
+		}
+	}
+}
