--- a/assembler/delegation.go
+++ b/assembler/delegation.go
@@ -36,7 +36,7 @@
 func (d *Daemon) newDelegation() delegation {
 	return delegation{
 		Delegator: delegator.New(delegator.Settings{
-			DataCentre: d.settings.DataCentre, Header: platform.EncodeCall, Now: time.Now, Logger: d.loggerFor("delegator"),
+			DataCentre: d.settings.DataCentre, Header: platform.EncodeCall, Memory: d.memory, Now: time.Now, Logger: d.loggerFor("delegator"),
 			Alive: func(daemon delegator.Daemon) bool {
 				return d.broadcaster.Alive(broadcaster.Peer{Name: daemon.Name, DataCentre: daemon.DataCentre})
 			},
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -43,6 +43,7 @@
 	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/proto/hosting/v1/hostingv1connect"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
 // Error is the class of all errors of this package.
@@ -77,7 +78,9 @@
 	// Header encodes all of a call that is in its header.
 	Header func(call *relayer.Call) http.Header
 	// Alive reports whether another daemon is likely to be there. Default: always.
-	Alive  func(daemon Daemon) bool
+	Alive func(daemon Daemon) bool
+	// Memory bounds the memory of the messages that are being sent. Default: no bound.
+	Memory *reserver.Memory
 	Now    func() time.Time
 	Logger *slog.Logger
 }
@@ -133,6 +136,11 @@
 // is a connector.UnsentError if none took it, and a connector.NoResponseError if a target may have run it.
 func (d *Delegator) Send(ctx context.Context, service string, call *relayer.Call) (answer *relayer.DelegatedAnswer, err error) {
 	defer Error.WrapP(&err)
+	share, err := d.acquire(ctx, call)
+	if err != nil {
+		return nil, &connector.UnsentError{Cause: err}
+	}
+	defer share.Release() // The message has been sent once there is an answer.
 	err = &connector.UnsentError{Cause: errNoDaemon}
 	for offers := range maxTries {
 		daemon, found := d.take(service)
--- a/delegator/intake.go
+++ b/delegator/intake.go
@@ -11,9 +11,25 @@
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
-// memoryAccount is the account of the requests that other daemons pass on, so that room is left for the own callers.
+// memoryAccount is the account of the requests that daemons pass on to each other, so that room is left for the own callers.
 const memoryAccount = "other daemons"
 
+// sentCopies is how often a message holds the body that is passed on: the message itself, and the buffer in which it grows.
+const sentCopies = 2
+
+// acquire takes memory for the message with which a call is passed on.
+func (d *Delegator) acquire(ctx context.Context, call *relayer.Call) (share *reserver.Share, err error) {
+	if len(call.Body) == 0 {
+		return nil, nil
+	}
+	share, err = d.settings.Memory.Acquire(ctx, reserver.Claim{Account: memoryAccount, Bytes: sentCopies * len(call.Body)})
+	if err != nil {
+		return nil, err
+	}
+	share.Complete(sentCopies * len(call.Body)) // It keeps its place.
+	return share, nil
+}
+
 // emptyMessage is an envelope without a message, which a refused request has in place of its own.
 var emptyMessage = make([]byte, 5)
 
--- a/delegator/intake_test.go
+++ b/delegator/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,9 +11,40 @@
 
 	"github.com/rosemaryrill/rosemaryrill/connector"
 	"github.com/rosemaryrill/rosemaryrill/delegator"
+	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
+// Guards against a daemon that takes memory without bound for the messages in which it passes requests on, and for requests that read as if they may
+// have run when there is none.
+func TestDaemonWithoutMemoryPassesNothingOn(t *testing.T) {
+	other := newDaemon(t, "other", "north", echo)
+	memory := reserver.NewMemory(1 << 20)
+	d := delegator.New(delegator.Settings{
+		DataCentre: "north", Now: time.Now, Logger: slog.New(slog.DiscardHandler), Memory: memory,
+		Header: func(call *relayer.Call) http.Header { return call.Header.Clone() },
+	})
+	t.Cleanup(func() { _ = d.Close() })
+	d.SetPeers([]delegator.Daemon{other.Daemon})
+	call := newCall()
+	call.Body = make([]byte, 100<<10)
+	held := memory.Hold("another", 1<<20)
+	_, err := d.Send(t.Context(), service, call)
+	var unsent *connector.UnsentError
+	if !errors.As(err, &unsent) || other.count() > 0 {
+		t.Errorf("without memory: %v, %d requests were passed on", err, other.count())
+	}
+	held.Release()
+	answer, err := d.Send(t.Context(), service, call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer.Close()
+	if memory.Held() != 0 || other.count() != 1 {
+		t.Errorf("%d bytes are still held, %d requests were passed on", memory.Held(), other.count())
+	}
+}
+
 // Guards against a daemon without memory whose refusal of a request reads as one that may have run (ONCE), or that reads the request first.
 func TestDaemonWithoutMemoryTakesNoRequests(t *testing.T) {
 	memory := reserver.NewMemory(1 << 20)
