reserver: a message with a length takes memory once

Cause: a decoder that reads on after the end made its message take three times its length again, and an announced length had no bound of its own (a message of 2 GB alone would have held 6 GB until it stalled).

--- a/reserver/handler.go
+++ b/reserver/handler.go
@@ -10,15 +10,19 @@
 	"time"
 )
 
-// messageCopies is how often a message is held while it is received and decoded: the buffer, which doubles as it grows, and the message.
-const messageCopies = 3
+const (
+	// messageCopies is how often a message is held while it is received and decoded: the buffer, which doubles as it grows, and the message.
+	messageCopies = 3
+	// maxMessageBytes is the size beyond which no service reads a message, whatever length is announced.
+	maxMessageBytes = 64 << 20
+)
 
 // messageReader counts what is read of a message that is decoded from its body.
 type messageReader struct {
 	io.ReadCloser
 	ctx   context.Context
 	share *Share
-	// reserved is how much of the body has been acquired.
+	// reserved is how much of the body has been acquired; a body with a known length has all of it.
 	reserved int64
 	read     int64
 }
@@ -43,10 +47,13 @@
 	if m == nil || r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
-	reserved := max(r.ContentLength, firstStepBytes)
+	first, reserved := int64(firstStepBytes), int64(firstStepBytes)
+	if r.ContentLength >= 0 {
+		first, reserved = min(r.ContentLength, maxMessageBytes), math.MaxInt64
+	}
 	control := http.NewResponseController(w)
 	share, err = m.Acquire(r.Context(), Claim{
-		Account: account, Bytes: messageCopies * int(min(reserved, math.MaxInt32)),
+		Account: account, Bytes: messageCopies * int(first),
 		Interrupt: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only if the connection is closed.
 	})
 	if err != nil {
