allocator: retry times of slow quotas and of a daemon that has just started

Cause: a daemon that may not create units yet told callers to come back after 10 s, and so did quotas whose next request is possible later than that. Measured: tests of allocator; the tests of assembler that match Quota or Leaving, with the race detector.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -23,8 +23,9 @@
 	aheadReserve = 0.5
 	// defaultRetryAfter is the retry delay while no coordinator is known to answer.
 	defaultRetryAfter = 300 * time.Millisecond
-	// maxRetryAfter bounds the retry delay if the amount can't become available as things are.
-	maxRetryAfter = 10 * time.Second
+	// maxRetryAfter bounds the retry delay, and isolatedRetryAfter is the delay if the amount can't become available as things are.
+	maxRetryAfter      = time.Minute
+	isolatedRetryAfter = 10 * time.Second
 	// isolatedExtra is what a coordinator with half of the fleet or less adds to the burst before it takes its share of it, so
 	// that requests of usual size can pass there. The shares add up, so all such coordinators together add no more.
 	isolatedExtra = 100_000
@@ -373,11 +374,13 @@
 	switch {
 	case t.young:
 		return defaultRetryAfter
-	case a.threshold(amount, t) > a.capacity(t) || t.share <= 0:
-		return maxRetryAfter
+	case t.share <= 0: // This daemon has just started, and the others do not know it yet.
+		return announcementDelay
+	case a.threshold(amount, t) > a.capacity(t):
+		return isolatedRetryAfter
 	}
-	seconds := max(units, 0) / (a.rate * t.share)
-	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxRetryAfter)
+	seconds := min(max(units, 0)/(a.rate*t.share), maxRetryAfter.Seconds())
+	return time.Duration(seconds*float64(time.Second)) + time.Millisecond
 }
 
 // aheadRefused reports whether units were asked for ahead lately and did not come.
