--- a/placer/snapshot.go
+++ b/placer/snapshot.go
@@ -8,6 +8,8 @@
 	// maxInspectedParts bounds the parts of one target that are inspected for a snapshot, since most of them may belong to one
 	// call alone.
 	maxInspectedParts = 64
+	// storeShare bounds the share of the stores in a snapshot, since a fetch from another target takes less time.
+	storeShare = 0.75
 )
 
 // Snapshot returns the shared parts that stores and targets are known to hold, at most count, for a daemon that starts: first
@@ -17,7 +19,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.stores {
-		holdings = append(holdings, s.cached.recent(s.hash, count, count, true)...)
+		most := int(storeShare * float64(count) / float64(len(p.stores)))
+		holdings = append(holdings, s.cached.recent(s.hash, most, most, true)...)
 	}
 	for _, t := range p.targets { // The order of a map is random, so the answers of several daemons differ where not all fit.
 		if len(holdings) >= count {
