placer: a session stays with the target that has its parts

Cause: unseen requests of a call's class were estimated as this daemon's own rate times the other daemons.

The rates decay with 3 s in place of 1 s, since a rate from one request is multiplied by the number of daemons.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -37,7 +37,7 @@
 	a.work.pendingPrefill[call.Urgency] = best.prefillTokens + overheadTokens(call)
 	a.measurable = t.combinedWork().pendingPrefill.total() == 0 && best.fetchedTokens == 0
 	a.slotFraction = t.slotFraction(t.requestCount(t.combinedWork(), now))
-	p.recordSend(call, a.work.pendingPrefill.total(), now)
+	p.recordSend(call, best.version, a.work.pendingPrefill.total(), now)
 	p.noteExtra(t, now)
 	t.localWork.add(a.work)
 	t.limit.take()
--- a/placer/crossing_test.go
+++ b/placer/crossing_test.go
@@ -24,15 +24,14 @@
 }
 
 func (c *fakeCrossing) WorthMoving(int, time.Duration, time.Duration) bool { return false }
-func (c *fakeCrossing) RecordAnswer(dataCentre string) { c.told = append(c.told, "answer "+dataCentre) }
 
-func (c *fakeCrossing) RecordFailure(dataCentre string) {
-	c.told = append(c.told, "failure "+dataCentre)
-}
+func (c *fakeCrossing) RecordAnswer(dataCentre string) { c.tell("answer " + dataCentre) }
 
-func (c *fakeCrossing) RecordRoundTrip(dataCentre string, _ time.Duration) {
-	c.told = append(c.told, "trip "+dataCentre)
-}
+func (c *fakeCrossing) RecordFailure(dataCentre string) { c.tell("failure " + dataCentre) }
+
+func (c *fakeCrossing) RecordRoundTrip(dataCentre string, _ time.Duration) { c.tell("trip " + dataCentre) }
+
+func (c *fakeCrossing) tell(what string) { c.told = append(c.told, what) }
 
 // The data centre that Settings.Crossing names gets the request and learns what the placer sees of each. Cached parts that are not
 // worth their move are prefilled again.
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -180,6 +180,7 @@
 			continue
 		}
 		if cached, capacity := p.cacheOf(holding.Target); cached != nil {
+			p.recordTold(holding, now)
 			p.noteEviction(holding, now)
 			cached.add(partKey(holding.Key), holding.Tokens, capacity, now.Add(p.prefillBacklog(holding.Target)))
 			p.noteHeld(partKey(holding.Key), holding.Tokens)
--- a/placer/speed_test.go
+++ b/placer/speed_test.go
@@ -113,3 +113,22 @@
 		t.Errorf("the slow target got %d requests, the other one %d", counts["e0"], counts["e1"])
 	}
 }
+
+// A session whose requests all come to one daemon of many stays with the target that has its parts, since the other daemons send none of
+// them.
+func TestSessionStaysWithItsTarget(t *testing.T) {
+	f := newFixture(t, 16)
+	f.placer.SetPeers(make([]string, 57))
+	first := f.choose(longCall("session"))
+	first.Attempt.RecordFirstEvent()
+	first.Attempt.Finish()
+	for range 50 {
+		f.now = f.now.Add(300 * time.Millisecond)
+		choice := f.choose(longCall("session"))
+		if choice.Target.ID != first.Target.ID {
+			t.Fatalf("a request of the session went to %s, the first to %s", choice.Target.ID, first.Target.ID)
+		}
+		choice.Attempt.RecordFirstEvent()
+		choice.Attempt.Finish()
+	}
+}
--- a/placer/spread.go
+++ b/placer/spread.go
@@ -4,8 +4,6 @@
 	"math"
 	"math/bits"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -13,10 +11,10 @@
 	// broadcaster and the way through two aggregators.
 	unseenTime = 100 * time.Millisecond
 	// sendRateDecay is the time constant of the rate at which this daemon sends requests.
-	sendRateDecay = time.Second
+	sendRateDecay = 3 * time.Second
 	// levelRounds bounds the steps in which the level is approached. Each step counts the targets below it again.
 	levelRounds = 8
-	// callClasses is the number of classes of calls of a service that are counted apart: those with shared parts by the first
+	// callClasses is the number of classes of calls of a service that are counted apart: those with a large shared part by that
 	// part, the others by their size.
 	callClasses = 256
 )
@@ -41,40 +39,64 @@
 	r.tokens += float64(tokens)
 }
 
-// serviceRates are the rates of the calls of a service, of all together and by class.
+// serviceRates are the rates of the calls of a service: those of this daemon, all together and by class, and those of the other daemons
+// with a large shared part by that part, as they announce them.
 type serviceRates struct {
 	all     sendRate
 	classes [callClasses]sendRate
+	told    [callClasses]sendRate
 }
 
-// class returns the class of the call. Calls of one class are expected to be sent to the same targets.
-func (c Call) class() int {
-	if len(c.Parts) > 1 {
-		return int(xxh3.HashString(c.Parts[0].ID) % callClasses)
+// class returns the class of the call. Calls of one class are expected to be sent to the same targets. If announced is set, the class
+// is that of a shared part whose uses daemons tell each other.
+func (c Call) class(version int64) (class int, announced bool) {
+	largest := Part{}
+	for _, part := range c.Parts[:max(len(c.Parts)-1, 0)] {
+		if part.Tokens > largest.Tokens {
+			largest = part
+		}
+	}
+	if largest.Tokens >= minAnnouncedTokens {
+		return int(PartKey(c.Model, c.CacheNamespace, version, largest.ID) % callClasses), true
 	}
-	return bits.Len(uint(c.PromptTokens)) % callClasses
+	return bits.Len(uint(c.PromptTokens)) % callClasses, false
 }
 
-// recordSend counts a request that is sent.
-func (p *Placer) recordSend(call Call, tokens int, now time.Time) {
-	rates := p.sendRates[call.Service]
+func (p *Placer) ratesOf(service string) *serviceRates {
+	rates := p.sendRates[service]
 	if rates == nil {
 		rates = &serviceRates{}
-		p.sendRates[call.Service] = rates
+		p.sendRates[service] = rates
 	}
+	return rates
+}
+
+// recordSend counts a request that is sent.
+func (p *Placer) recordSend(call Call, version int64, tokens int, now time.Time) {
+	rates := p.ratesOf(call.Service)
 	rates.all.add(tokens, now)
-	rates.classes[call.class()].add(tokens, now)
+	class, _ := call.class(version)
+	rates.classes[class].add(tokens, now)
+}
+
+// recordTold counts a request with a large shared part of which a peer told.
+func (p *Placer) recordTold(holding Holding, now time.Time) {
+	if t := p.byHash[holding.Target]; t != nil && holding.Tokens >= minAnnouncedTokens {
+		p.ratesOf(t.Service).told[holding.Key%callClasses].add(0, now)
+	}
 }
 
 // unseenRequests estimates how many requests of other daemons are at the targets of the call's service that this daemon has not
 // heard of yet: those of the call's class, and the rest with the tokens of each. It assumes that all daemons send as much as this
-// one.
-func (p *Placer) unseenRequests(call Call, now time.Time) (similar, rest float64, restTokens int) {
+// one. For a large shared part it goes by what they told: the requests of one session all come to the same daemon, and would leave
+// the target that has its parts for the sake of others that do not exist.
+func (p *Placer) unseenRequests(call Call, version int64, now time.Time) (similar, rest float64, restTokens int) {
 	rates := p.sendRates[call.Service]
 	if rates == nil || p.daemonCount() == 1 {
 		return 0, 0, 0
 	}
-	class := &rates.classes[call.class()]
+	number, announced := call.class(version)
+	class := &rates.classes[number]
 	rates.all.decay(now)
 	class.decay(now)
 	unseen := float64(p.daemonCount()-1) * unseenTime.Seconds() / sendRateDecay.Seconds()
@@ -82,6 +104,11 @@
 	if rest > 0 {
 		restTokens = int(max(rates.all.tokens-class.tokens, 0) / rest)
 	}
+	if announced {
+		told := &rates.told[number]
+		told.decay(now)
+		return told.requests * unseenTime.Seconds() / sendRateDecay.Seconds(), rest * unseen, restTokens
+	}
 	return class.requests * unseen, rest * unseen, restTokens
 }
 
@@ -93,7 +120,7 @@
 // The calls of the same class are spread over the targets whose costs are below their level; the call goes to one of
 // these, with the probability with which the others do.
 func (p *Placer) draw(call Call, candidates []candidate, share float64, now time.Time) *candidate {
-	similar, _, _ := p.unseenRequests(call, now)
+	similar, _, _ := p.unseenRequests(call, candidates[0].version, now)
 	drawn := &candidates[0]
 	for i := range candidates {
 		c := &candidates[i]
@@ -127,7 +154,7 @@
 
 // addUnseenWork raises the costs by the unseen work of other calls, of which the candidates get a share.
 func (p *Placer) addUnseenWork(call Call, candidates []candidate, share float64, now time.Time) {
-	_, requests, tokens := p.unseenRequests(call, now)
+	_, requests, tokens := p.unseenRequests(call, candidates[0].version, now)
 	if requests == 0 {
 		return
 	}
