drainer: pauses within answers have no limit

Cause: a write deadline that had passed ended a stream over HTTP/2 though nothing was being written, and cut the last bytes of a chunked answer over HTTP/1.1 when the handler returned later than 30 s after its last write. Red before: TestPausesWithinAnswersAreNotLimited.

--- a/drainer/answer.go
+++ b/drainer/answer.go
@@ -30,9 +30,10 @@
 func (d *Drainer) announce(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connectionKey{}).(*connection)
-		a := &answer{ResponseWriter: w, drainer: d, connection: c, mayKeep: r.ProtoMajor == 1 && r.ProtoAtLeast(1, 1) && !r.Close}
+		a := &answer{ResponseWriter: w, drainer: d, connection: c, mayKeep: r.ProtoMajor == 1 && r.ProtoAtLeast(1, 1) && !r.Close, multiplexed: r.ProtoMajor > 1}
 		next.ServeHTTP(a, r)
 		a.announce()
+		a.limitWrite() // The rest of the answer is sent when the handler has returned.
 	})
 }
 
@@ -53,6 +54,8 @@
 	// mayKeep is set if the caller may keep its connection.
 	mayKeep   bool
 	announced bool
+	// multiplexed is set if requests share the connection (HTTP/2). Such a request ends at its write deadline even if nothing is being written.
+	multiplexed bool
 }
 
 // announce completes the header.
@@ -84,6 +87,7 @@
 	}
 	a.limitWrite()
 	a.ResponseWriter.WriteHeader(status)
+	a.endWrite()
 }
 
 // Write implements http.ResponseWriter.
@@ -98,6 +102,7 @@
 		written += n
 		p = p[n:]
 		if err != nil || len(p) == 0 {
+			a.endWrite()
 			return written, err
 		}
 	}
@@ -114,9 +119,17 @@
 func (a *answer) FlushError() error {
 	a.announce()
 	a.limitWrite()
+	defer a.endWrite()
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
+// endWrite tells that nothing is being written, so that a pause within an answer has no limit.
+func (a *answer) endWrite() {
+	if a.multiplexed && a.drainer.settings.WriteTimeout > 0 {
+		_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Time{}) // Writers of tests have none.
+	}
+}
+
 // Flush implements http.Flusher.
 func (a *answer) Flush() { _ = a.FlushError() }
 
--- a/drainer/bounds_test.go
+++ b/drainer/bounds_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// Guards against streams that are cut since their source pauses for longer than callers may leave a piece unread. Package net/http ends a request
+// over HTTP/2 at its write deadline whether anything is being written or not.
+func TestPausesWithinAnswersAreNotLimited(t *testing.T) {
+	settings := drainer.Settings{WriteTimeout: 100 * time.Millisecond}
+	stream := func(w http.ResponseWriter, _ *http.Request) {
+		for range 3 {
+			_, _ = io.WriteString(w, "event")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(3 * settings.WriteTimeout)
+		}
+	}
+	plain := startServer(t, settings, listen(t), stream)
+	_, encrypted, client := startHTTP2With(t, settings, stream)
+	for url, client := range map[string]*http.Client{"http://" + plain.address: {}, encrypted: client} {
+		response, err := client.Get(url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || string(body) != "eventeventevent" {
+			t.Errorf("%s: %q, %v", response.Proto, body, err)
+		}
+	}
+}
+
 // headMemory counts what is taken for heads, and has room for a number of bytes.
 type headMemory struct{ room, taken atomic.Int64 }
 
--- a/drainer/http2_test.go
+++ b/drainer/http2_test.go
@@ -18,10 +18,16 @@
 // among its requests.
 func startHTTP2(t *testing.T, handler http.HandlerFunc) (d *drainer.Drainer, url string, client *http.Client) {
 	t.Helper()
+	return startHTTP2With(t, drainer.Settings{}, handler)
+}
+
+func startHTTP2With(t *testing.T, settings drainer.Settings, handler http.HandlerFunc) (d *drainer.Drainer, url string, client *http.Client) {
+	t.Helper()
+	settings.AbortCause = errStopping
 	donor := httptest.NewTLSServer(http.NotFoundHandler())
 	defer donor.Close()
 	server := &http.Server{Handler: handler, TLSConfig: &tls.Config{Certificates: donor.TLS.Certificates}}
-	d = drainer.New(server, drainer.Settings{AbortCause: errStopping})
+	d = drainer.New(server, settings)
 	listener := listen(t)
 	tracked := d.Track(listener)
 	go func() { _ = server.ServeTLS(tracked, "", "") }()
