--- a/placer/crossing_test.go
+++ b/placer/crossing_test.go
@@ -29,7 +29,9 @@
 
 func (c *fakeCrossing) RecordFailure(dataCentre string) { c.tell("failure " + dataCentre) }
 
-func (c *fakeCrossing) RecordRoundTrip(dataCentre string, _ time.Duration) { c.tell("trip " + dataCentre) }
+func (c *fakeCrossing) RecordRoundTrip(dataCentre string, _ time.Duration) {
+	c.tell("trip " + dataCentre)
+}
 
 func (c *fakeCrossing) tell(what string) { c.told = append(c.told, what) }
 
