placer, relayer, loader: requests are sent to engines only as far as these have memory, with hosted.engine_memory

Cause: an engine beyond 0.8 of its memory only cost 400 ms more, and shared parts in use and requests on their way from peers did not count, so engines held more than their memory and preempted requests. Change: with the setting an engine is left out if the blocks of all daemons' requests there, their shared parts (once each) and the call exceed 0.95 of its memory (0.01 less for each less urgent class). What peers claim meanwhile is estimated from what their requests hold and how long they stay; where that exceeds what is free, each daemon sends with the probability free / estimate. If no engine has memory the request is refused at once (503, engine_memory). Failed try: an estimate that took all daemons to send alike; in BenchmarkChooseBusy, where one daemon has all callers, no engine was left. A cost for shared parts not yet in use changed little.

--- a/assembler/view.go
+++ b/assembler/view.go
@@ -78,7 +78,7 @@
 	v.placer = placer.New(placer.Settings{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre, Now: time.Now, VersionBound: d.settings.Hosted.WeightsSpread,
 		SoftwareRecorded: d.origins.versions.Recorded, Seed: rand.Uint64(), Logger: d.loggerFor("placer"),
-		Crossing: d.newCrossing(),
+		Crossing: d.newCrossing(), LimitMemory: d.settings.Hosted.EngineMemory,
 	})
 	v.attributor = attributor.New(attributor.Settings{
 		Name: d.settings.Name, KnowsIncarnation: v.placer.KnowsIncarnation, Refuses: d.targetRefuses, Now: time.Now,
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -155,6 +155,8 @@
 			func(s *Settings) *float64 { return &s.Hosted.RetryBurst }),
 		flagField("fair_shares", "Whether client accounts are held to their fair shares of overloaded services.",
 			func(s *Settings) *bool { return &s.Hosted.FairShares }),
+		flagField("engine_memory", "Whether requests are refused for which no engine has memory.",
+			func(s *Settings) *bool { return &s.Hosted.EngineMemory }),
 		boundField("cross_data_centre_gigabyte_cost", "Cost of a gigabyte between data centres, where 1 is what an answer on time is worth. Requests leave their data centre if that is worth more than it costs. 0: the bytes and the round trip are not weighed.",
 			func(s *Settings) *float64 { return &s.Hosted.CrossDataCentreGigabyteCost }),
 		boundField("cross_data_centre_cache_gigabyte_cost", "The same for cached parts of prompts that engines fetch from another data centre. 0: not weighed. It has no effect without cross_data_centre_gigabyte_cost.",
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -131,6 +131,8 @@
 	RetryBurst float64
 	// FairShares makes the daemon hold client accounts to their fair shares of overloaded services.
 	FairShares bool
+	// EngineMemory makes the daemon refuse requests for which no engine has memory.
+	EngineMemory bool
 	// CrossDataCentreGigabyteCost is the cost of a gigabyte between data centres, where 1 is what an answer on time is worth; zero if
 	// it is not to be weighed.
 	CrossDataCentreGigabyteCost float64
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -21,6 +21,8 @@
 	slotFraction float64
 	// addedParts are the parts that the target was not known to hold before the attempt.
 	addedParts []partKey
+	// heldParts are the shared parts that the call needs until its end.
+	heldParts []partKey
 
 	mu             sync.Mutex
 	firstEventSeen bool
@@ -32,7 +34,7 @@
 	t := best.target
 	a := &Attempt{
 		placer: p, target: t, model: call.Model, version: best.version, chosenAt: now,
-		work: work{requests: 1, kvCacheTokens: call.unsharedTokens()},
+		work: work{requests: 1, kvCacheTokens: call.heldTokens()},
 	}
 	a.work.pendingPrefill[call.Urgency] = best.prefillTokens + overheadTokens(call)
 	a.measurable = t.combinedWork().pendingPrefill.total() == 0 && best.fetchedTokens == 0
@@ -43,6 +45,7 @@
 	t.limit.take()
 	t.startAnswerTimeout(best.expected, now)
 	a.addedParts = p.recordPlacement(t, call, best, now)
+	a.holdParts(call, now)
 	return a
 }
 
@@ -187,6 +190,7 @@
 		remaining.pendingPrefill = PendingPrefill{}
 	}
 	a.target.localWork.add(remaining.negated())
+	a.releaseParts()
 	if a.target.localWork.requests == 0 {
 		a.target.stopAnswerTimeout() // No request of this daemon waits for an answer.
 	}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -78,6 +78,8 @@
 	// takes before, and freeSlots the number of requests that the target can begin at once.
 	answerTime, unseenTime time.Duration
 	freeSlots              int
+	// full is set if the target has no memory for the call.
+	full bool
 	// level is what Placer.draw works on.
 	level levelled
 }
@@ -164,7 +166,7 @@
 func (p *Placer) bestCandidate(index *holderIndex, excluded []string, allowed func(*target) bool) (best candidate, err error) {
 	call, now := index.call, index.now
 	candidates := p.scratch[:0]
-	retryAfter, servedAtHome := time.Duration(0), false
+	retryAfter, servedAtHome, full := time.Duration(0), false, false
 	for _, t := range p.byService[call.Service] {
 		if !p.accepts(t) || call.Software != "" && t.Software != call.Software {
 			continue
@@ -185,13 +187,16 @@
 			retryAfter = min(cmp.Or(retryAfter, wait), wait)
 			continue
 		}
-		if c := p.estimate(t, index); p.weightsUsable(c, call.Model, now) {
+		c := p.estimate(t, index)
+		full = full || c.full
+		if !c.full && p.weightsUsable(c, call.Model, now) {
 			candidates = append(candidates, c)
 		}
 	}
 	p.scratch = candidates
+	p.recordRoom(call, now)
 	if len(candidates) == 0 {
-		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: max(retryAfter, defaultRetryAfter)}
+		return candidate{}, &NoTargetError{Service: call.Service, RetryAfter: max(retryAfter, defaultRetryAfter), Full: full}
 	}
 	share := 1.
 	if p.settings.Crossing == nil {
--- a/placer/estimate.go
+++ b/placer/estimate.go
@@ -78,6 +78,7 @@
 	holders := index.forVersion(c.version)
 	cached := call.cachedTokens(t.cached, holders.keys)
 	c.prefillTokens = call.PromptTokens - cached
+	c.full = !p.hasRoom(t, call, holders.keys, load, index.now)
 	source := index.bestSource(t, holders, cached)
 	if source.tokens > 0 {
 		c.fetchedTokens, c.fetchFrom, c.fetchStore = source.tokens, source.address, source.store
--- a/placer/peer.go
+++ b/placer/peer.go
@@ -184,6 +184,7 @@
 			p.noteEviction(holding, now)
 			cached.add(partKey(holding.Key), holding.Tokens, capacity, now.Add(p.prefillBacklog(holding.Target)))
 			p.noteHeld(partKey(holding.Key), holding.Tokens)
+			p.notePeerUse(holding, now)
 		}
 	}
 	for other, known := range p.peers {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -117,6 +117,8 @@
 	Service string
 	// RetryAfter is the delay after which the caller should retry.
 	RetryAfter time.Duration
+	// Full is set if targets were left out since they have no memory for the call.
+	Full bool
 }
 
 // NotInTimeError reports that the first event is expected too late at the target with the lowest cost.
@@ -135,6 +137,9 @@
 
 // Error names the service.
 func (e *NoTargetError) Error() string {
+	if e.Full {
+		return "no target of service " + e.Service + " has memory for the call"
+	}
 	return "no target of service " + e.Service + " can take the call"
 }
 
@@ -156,6 +161,8 @@
 	SoftwareRecorded func(service, software string) bool
 	// Crossing decides which requests leave their data centre. Default: targets in other data centres have a fixed penalty.
 	Crossing Crossing
+	// LimitMemory leaves engines out that have no memory for a call. Default: they only cost more.
+	LimitMemory bool
 	// Logger logs what targets say of themselves. Default: no log.
 	Logger *slog.Logger
 }
@@ -225,8 +232,11 @@
 	// departures are the incarnations that said that they are leaving.
 	departures map[TargetHash]*departure
 	rates      map[string]*prefillEstimator // by service
-	stores     storeSet
-	seen       seenParts
+	claims     map[string]*memoryClaims     // by service
+	// usedParts are shared parts of calls of this daemon.
+	usedParts seenParts
+	stores    storeSet
+	seen      seenParts
 	// answerTimes are the times of answers without a model at the usual target, in nanoseconds.
 	answerTimes map[string]*medianEstimator // by service
 	sendRates   map[string]*serviceRates    // by service
@@ -270,6 +280,7 @@
 		brittle:          make(map[string]brittleness),
 		departures:       make(map[TargetHash]*departure),
 		rates:            make(map[string]*prefillEstimator),
+		claims:           make(map[string]*memoryClaims),
 		answerTimes:      make(map[string]*medianEstimator),
 		sendRates:        make(map[string]*serviceRates),
 		random:           rand.New(rand.NewPCG(settings.Seed, xxh3.HashString(settings.Name))),
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -26,6 +26,8 @@
 	t      testing.TB
 	now    time.Time
 	placer *placer.Placer
+	// limitsMemory makes the placers leave out engines without memory.
+	limitsMemory bool
 }
 
 func newFixture(t testing.TB, engines int) *fixture {
@@ -36,7 +38,7 @@
 
 // newPlacer returns a placer with the fixture's engines and clock; tests use it as the placer of another daemon.
 func (f *fixture) newPlacer(engines int) *placer.Placer {
-	p := placer.New(placer.Settings{DataCentre: "north", Now: func() time.Time { return f.now }, VersionBound: versionBound})
+	p := placer.New(placer.Settings{DataCentre: "north", Now: func() time.Time { return f.now }, VersionBound: versionBound, LimitMemory: f.limitsMemory})
 	p.SetEngines(map[string]placer.Engine{service: {CacheTokens: 100_000, TokenBytes: 18_000, LinkBitsPerSecond: 180e9}})
 	p.SetTargets(targets(engines, 1))
 	return p
--- a/placer/target.go
+++ b/placer/target.go
@@ -85,6 +85,7 @@
 	cached   *partCache
 	// evictionToldAt is when an eviction of the target was last told by its events or by a peer.
 	evictionToldAt time.Time
+	use            partUse
 
 	limit rateLimit
 	speed speed
--- a/relayer/refusal.go
+++ b/relayer/refusal.go
@@ -21,6 +21,8 @@
 	ReasonTooLarge       Reason = "too_large"
 	ReasonHeaderTooLarge Reason = "header_too_large"
 	ReasonNoTarget       Reason = "no_target"
+	// ReasonEngineMemory: the engines have no memory for the request beside those that they run.
+	ReasonEngineMemory Reason = "engine_memory"
 	// ReasonNotInTime: no target is expected to answer in time, or the deadline passed before any target ran the request.
 	ReasonNotInTime Reason = "not_in_time"
 	// ReasonShed: the last attempted target rejected the request, and no target has run it.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -233,6 +233,9 @@
 	case errors.As(err, &unreachable):
 		r.cause = err
 		return placer.Choice{}, unavailable(ReasonUnreachable, unreachableRetryAfter)
+	case errors.As(err, &noTarget) && noTarget.Full:
+		r.cause = err
+		return placer.Choice{}, unavailable(ReasonEngineMemory, noTarget.RetryAfter)
 	case errors.As(err, &noTarget):
 		return placer.Choice{}, unavailable(ReasonNoTarget, noTarget.RetryAfter)
 	case errors.As(err, &notInTime):
--- a/relayer/share.go
+++ b/relayer/share.go
@@ -73,7 +73,7 @@
 // recordRefusal reports to Admission that the request was refused or failed for lack of capacity or time.
 func (r *relayedRequest) recordRefusal(reason Reason) {
 	switch reason {
-	case ReasonNoTarget, ReasonNotInTime, ReasonShed, ReasonDeadline:
+	case ReasonNoTarget, ReasonEngineMemory, ReasonNotInTime, ReasonShed, ReasonDeadline:
 		r.recordShare(admitter.Refused)
 	}
 }
