admitter, broadcaster, placer: single refusals are no overload

In a simulation of 16 accounts at a service used to a seventh, with 3% of the requests refused and 10% late at random, 46% were shed with 9 daemons and 37% with 70. Change: an overload takes the work of five refused or late requests. While work is refused the room is what was admitted less the refused fraction; daemons tell each other what they shed (number 6 of field 18).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -126,6 +126,7 @@
 	hash := accountHash(request.Account)
 	demanding, work := s.account(hash, request.Account), s.work(request, now)
 	demanding.add(request.Urgency, work, now)
+	s.noteWork(work)
 	s.evaluate(now)
 	a.logShortage(s, now)
 	ratio := s.ratio(hash, request.Urgency)
@@ -134,6 +135,7 @@
 		return true, 0
 	}
 	s.shed.add(request)
+	s.shedWork.add(work, now, workMemory)
 	return false, a.retryAfter(ratio, request.TimeLeft)
 }
 
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -126,3 +126,17 @@
 		t.Errorf("%+v", all)
 	}
 }
+
+// Guards against an account that is shed although the service has capacity: some requests are refused or late for other reasons,
+// and each daemon has a few of them a second.
+func TestSingleRefusalsAreNoOverload(t *testing.T) {
+	for _, fleet := range fleets {
+		s := newSimulation(fleet.daemons, 1000)
+		s.lost, s.delay, s.latency = fleet.lost, fleet.delay, 400*time.Millisecond
+		s.refusedAtRandom, s.lateAtRandom = 0.03, 0.1
+		s.run(40*time.Second, others(16, steady(9), 0.3))
+		if all := s.total(func(string) bool { return true }); all.shed > 0.01*all.offered {
+			t.Errorf("%s: %+v", fleet.name, all)
+		}
+	}
+}
--- a/admitter/exchange.go
+++ b/admitter/exchange.go
@@ -39,6 +39,7 @@
 	own := s.ownSupply(now)
 	return placer.ServiceSupply{
 		Service: s.hash, Served: int(math.Round(own.served)), Late: int(math.Round(own.late)), Refused: int(math.Round(own.refused)),
+		Shed: int(math.Round(own.shed)),
 	}
 }
 
--- a/admitter/service.go
+++ b/admitter/service.go
@@ -38,6 +38,9 @@
 	sweptAt  time.Time
 	// served, late and refused are the work of this daemon's requests that began, began late or were refused.
 	served, late, refused decayed
+	// shedWork is the work of requests that were not admitted, and perRequest the mean work of this daemon's requests.
+	shedWork   decayed
+	perRequest float64
 	// sharedTokens counts tokens of shared prompt parts, and sharedRead those of them that targets prefilled.
 	sharedTokens, sharedRead decayed
 	reports                  map[string]report
@@ -76,6 +79,17 @@
 	return min(s.sharedRead.at(now, ratioMemory)/tokens, 1)
 }
 
+// meanWeight is the weight of one request in the mean work of requests.
+const meanWeight = 0.02
+
+// noteWork adds the work of a request to the mean.
+func (s *service) noteWork(work float64) {
+	if s.perRequest == 0 {
+		s.perRequest = work
+	}
+	s.perRequest += meanWeight * (work - s.perRequest)
+}
+
 // account returns an account, which begins without demand.
 func (s *service) account(hash placer.AccountHash, name string) *account {
 	known := s.accounts[hash]
@@ -132,7 +146,10 @@
 
 // ownSupply returns what became of this daemon's requests.
 func (s *service) ownSupply(now time.Time) supply {
-	return supply{served: s.served.at(now, workMemory), late: s.late.at(now, workMemory), refused: s.refused.at(now, workMemory)}
+	return supply{
+		served: s.served.at(now, workMemory), late: s.late.at(now, workMemory), refused: s.refused.at(now, workMemory),
+		shed: s.shedWork.at(now, workMemory), perRequest: s.perRequest,
+	}
 }
 
 // totalSupply returns what became of the requests of all known daemons.
@@ -142,6 +159,7 @@
 		total.served += float64(known.supply.Served)
 		total.late += float64(known.supply.Late)
 		total.refused += float64(known.supply.Refused)
+		total.shed += float64(known.supply.Shed)
 	}
 	return total
 }
--- a/admitter/shortage.go
+++ b/admitter/shortage.go
@@ -10,6 +10,9 @@
 	// that began late, beyond which a service is overloaded. Single requests are refused or late without overload.
 	shortRefusedRatio = 0.02
 	shortLateRatio    = 0.2
+	// minEvidence is the number of requests that have to be refused or late within a second before a service counts as
+	// overloaded. One of few requests says nothing of the service.
+	minEvidence = 5
 	// downRatio is the fraction of the demanded work below which a service counts as down. Its few requests are refused
 	// by the placer, and are served again as soon as there are targets.
 	downRatio = 0.05
@@ -23,8 +26,8 @@
 	drainedGrowth = 0.02
 	// roomGrowth raises the room per second while no requests are refused or late, and roomAcceleration raises roomGrowth,
 	// since more capacity is likely to be free the longer that lasts.
-	roomGrowth       = 0.03
-	roomAcceleration = 0.03
+	roomGrowth       = 0.05
+	roomAcceleration = 0.05
 	// roomExcess is the room, as a multiple of the demand, at which the shortage ends.
 	roomExcess = 1.2
 	// maxStep bounds the time by which the room grows at once.
@@ -34,11 +37,25 @@
 // supply is what became of the work of a service within the last second at all known daemons.
 type supply struct {
 	served, late, refused float64
+	// shed is the work that was not admitted, and perRequest the mean work of a request.
+	shed, perRequest float64
 }
 
 // concluded returns the work whose requests have begun or were refused.
 func (s supply) concluded() float64 { return s.served + s.refused }
 
+// exceeds reports whether a part of the concluded work is evidence of an overload.
+func (s supply) exceeds(part, ratio float64) bool {
+	return part > ratio*s.concluded() && part >= minEvidence*s.perRequest
+}
+
+// capacity returns the work that the service can take while work is refused: the admitted work less the refused fraction of
+// what has been concluded, but at least what was served. The former does not lag behind a demand that changes.
+func (s supply) capacity(demanded float64) float64 {
+	admitted := max(demanded-s.shed, 0)
+	return max(admitted*s.served/max(s.concluded(), 1), s.served)
+}
+
 // strained reports whether work was refused or late at all, so that daemons tell each other what is demanded.
 func (s supply) strained() bool { return s.refused+s.late > shortRefusedRatio/2*s.concluded() }
 
@@ -57,17 +74,19 @@
 func (s *shortage) update(now supply, demanded float64, at time.Time) {
 	step := min(at.Sub(s.updatedAt), maxStep)
 	s.updatedAt = at
-	refused := now.refused > shortRefusedRatio*now.concluded()
-	late := now.late > shortLateRatio*now.concluded()
+	refused := now.exceeds(now.refused, shortRefusedRatio)
+	late := now.exceeds(now.late, shortLateRatio)
 	switch {
 	case now.served < downRatio*demanded:
 		s.room = 0
-	case refused || late && s.room == 0:
+	case refused:
+		s.room, s.drainedRoom, s.calm = now.capacity(demanded), minDrainedRatio*now.served, 0
+	case late && s.room == 0:
 		s.room, s.drainedRoom, s.calm = now.served, minDrainedRatio*now.served, 0
 	case late:
 		s.calm = 0
 		s.drainedRoom *= math.Exp(drainedGrowth * step.Seconds())
-		s.room = max(min(s.room, drainRatio*now.served), s.drainedRoom)
+		s.room = max(drainRatio*now.served, s.drainedRoom)
 	case s.room > 0:
 		s.calm += step
 		s.room *= math.Exp((roomGrowth + roomAcceleration*s.calm.Seconds()) * step.Seconds())
--- a/admitter/simulation_test.go
+++ b/admitter/simulation_test.go
@@ -55,6 +55,10 @@
 	daemons  []*admitter.Admitter
 	capacity func(time.Duration) float64
 	backlog  float64
+	// refusedAtRandom and lateAtRandom are the fractions of the requests that are refused or late whatever the load, and latency the time until an
+	// answer begins, in addition to the wait.
+	refusedAtRandom, lateAtRandom float64
+	latency                       time.Duration
 	// lost is the fraction of the messages that get lost, and delay how long the others take at most.
 	lost  float64
 	delay time.Duration
@@ -153,7 +157,7 @@
 		s.after(retryAfter, func() { s.send(daemon, request, count, false) })
 	case !admitted:
 		count.shed++
-	case wait > refusedWait:
+	case wait > refusedWait || s.random.Float64() < s.refusedAtRandom:
 		daemon.Record(admitter.Outcome{Request: request, Result: admitter.Refused})
 		count.refused++
 	default:
@@ -163,10 +167,10 @@
 			count.late++
 		}
 		result := admitter.Began
-		if wait > objective/2 {
+		if wait > objective/2 || s.random.Float64() < s.lateAtRandom {
 			result = admitter.BeganLate
 		}
-		s.after(wait, func() { daemon.Record(admitter.Outcome{Request: request, Result: result}) })
+		s.after(wait+s.latency, func() { daemon.Record(admitter.Outcome{Request: request, Result: result}) })
 	}
 }
 
--- a/broadcaster/demand.go
+++ b/broadcaster/demand.go
@@ -23,6 +23,7 @@
 	fieldLateWork   protowire.Number = 4
 	// fieldRefusedWork is the work that was refused for lack of capacity or time.
 	fieldRefusedWork protowire.Number = 5
+	fieldShedWork    protowire.Number = 6
 )
 
 // demandInterval is the shortest time between two messages of an aggregator with demands. Three of them fit into
@@ -31,7 +32,7 @@
 
 func appendDemands(datagram []byte, update placer.PeerUpdate) []byte {
 	for _, supply := range update.ServiceSupplies {
-		datagram = appendVarints(datagram, fieldDemand, uint64(supply.Service), 0, uint64(max(supply.Served, 0)), uint64(max(supply.Late, 0)), uint64(max(supply.Refused, 0)))
+		datagram = appendVarints(datagram, fieldDemand, uint64(supply.Service), 0, uint64(max(supply.Served, 0)), uint64(max(supply.Late, 0)), uint64(max(supply.Refused, 0)), uint64(max(supply.Shed, 0)))
 	}
 	for _, demand := range update.AccountDemands {
 		values := []uint64{uint64(demand.Service), uint64(demand.Account), uint64(max(demand.Usual, 0))}
@@ -48,7 +49,7 @@
 	service := placer.ServiceHash(s.numbers[fieldService])
 	if s.numbers[fieldAccounts] == 0 {
 		update.ServiceSupplies = append(update.ServiceSupplies, placer.ServiceSupply{
-			Service: service, Served: s.count(fieldServedWork), Late: s.count(fieldLateWork), Refused: s.count(fieldRefusedWork),
+			Service: service, Served: s.count(fieldServedWork), Late: s.count(fieldLateWork), Refused: s.count(fieldRefusedWork), Shed: s.count(fieldShedWork),
 		})
 		return
 	}
--- a/broadcaster/demand_test.go
+++ b/broadcaster/demand_test.go
@@ -16,7 +16,7 @@
 	demand.Work[0], demand.Work[placer.Urgencies-1] = work, 1
 	return placer.PeerUpdate{
 		AccountDemands:  []placer.AccountDemand{demand},
-		ServiceSupplies: []placer.ServiceSupply{{Service: 1 << 31, Served: work, Late: 2, Refused: 3}, {Service: 5}},
+		ServiceSupplies: []placer.ServiceSupply{{Service: 1 << 31, Served: work, Late: 2, Refused: 3, Shed: 4}, {Service: 5}},
 	}
 }
 
--- a/placer/demand.go
+++ b/placer/demand.go
@@ -65,6 +65,8 @@
 	Served, Late int
 	// Refused is the work of requests that were refused within the last second for lack of capacity or time.
 	Refused int
+	// Shed is the work of requests that were not admitted within the last second.
+	Shed int
 }
 
 // Plus returns the sum of both, which are of the same service.
@@ -72,6 +74,7 @@
 	other.Served += s.Served
 	other.Late += s.Late
 	other.Refused += s.Refused
+	other.Shed += s.Shed
 	return other
 }
 
@@ -80,6 +83,7 @@
 	s.Served = max(s.Served-other.Served, 0)
 	s.Late = max(s.Late-other.Late, 0)
 	s.Refused = max(s.Refused-other.Refused, 0)
+	s.Shed = max(s.Shed-other.Shed, 0)
 	return s
 }
 
