--- a/broadcaster/exchange_test.go
+++ b/broadcaster/exchange_test.go
@@ -43,6 +43,7 @@
 	strikes     []attributor.Strike
 	completions []attributor.Completion
 	limits      []placer.RateLimit
+	factors     []placer.WorkFactor
 	departures  []placer.TargetHash
 	// demands are the last updates with demands, by the sender.
 	demands map[string]placer.PeerUpdate
@@ -51,6 +52,7 @@
 func (d *simulatedDaemon) Export() placer.PeerUpdate {
 	update := d.own
 	d.own.Holdings, d.own.Strikes, d.own.Completions, d.own.RateLimits, d.own.Departures = nil, nil, nil, nil, nil
+	d.own.WorkFactors = nil
 	return update
 }
 
@@ -65,6 +67,7 @@
 	d.strikes = append(d.strikes, update.Strikes...)
 	d.completions = append(d.completions, update.Completions...)
 	d.limits = append(d.limits, update.RateLimits...)
+	d.factors = append(d.factors, update.WorkFactors...)
 	d.departures = append(d.departures, update.Departures...)
 	if update.UpgradePlan.FencingToken >= d.plan.FencingToken {
 		d.plan = update.UpgradePlan
--- a/broadcaster/limit_test.go
+++ b/broadcaster/limit_test.go
@@ -20,17 +20,18 @@
 	}
 }
 
-// A limit of which one daemon hears reaches all others, also through aggregators.
-func TestRateLimitsReachTheFleet(t *testing.T) {
+// A limit or a factor of which one daemon hears reaches all others, also through aggregators.
+func TestRateLimitsAndWorkFactorsReachTheFleet(t *testing.T) {
 	for _, count := range []int{9, 40} {
 		f := newSimulatedFleet(count, 3)
 		f.run(t, 2*time.Second)
 		limit := placer.RateLimit{Target: 7, Limited: true, PerSecond: 3}
-		f.daemons[1].own.RateLimits = []placer.RateLimit{limit}
+		factor := placer.WorkFactor{Target: 7, WorkPercent: 250}
+		f.daemons[1].own.RateLimits, f.daemons[1].own.WorkFactors = []placer.RateLimit{limit}, []placer.WorkFactor{factor}
 		f.run(t, maxWorkAge)
 		for i, d := range f.daemons {
-			if i != 1 && (len(d.limits) == 0 || d.limits[0] != limit) {
-				t.Errorf("daemon %d of %d got %+v", i, count, d.limits)
+			if i != 1 && (len(d.limits) == 0 || d.limits[0] != limit || len(d.factors) == 0 || d.factors[0] != factor) {
+				t.Errorf("daemon %d of %d got %+v and %+v", i, count, d.limits, d.factors)
 			}
 		}
 	}
