assembler, relayer: a large body without a valid key is not read

Cause: requests that would be refused with 401 held memory for bodies that they never finished. Bodies up to 64 KiB are read as before, so that their connections go on.

--- a/assembler/bodies.go
+++ b/assembler/bodies.go
@@ -39,6 +39,9 @@
 	if r.ContentLength > limit {
 		return nil, nil, &http.MaxBytesError{Limit: limit}
 	}
+	if err := e.checkAccess(r); err != nil {
+		return nil, nil, err
+	}
 	control := http.NewResponseController(w)
 	share, err = e.daemon.memory.Acquire(r.Context(), reserver.Claim{
 		Account: e.accountName(r.Header), Bytes: reserver.FirstBytes(r.ContentLength),
@@ -62,6 +65,27 @@
 	return body, share, err
 }
 
+// accessError is the cause if the body of a request is not read, since its key is not valid.
+type accessError struct{ refusal relayer.Refusal }
+
+// Error names the reason.
+func (e *accessError) Error() string { return "body not read: " + string(e.refusal.Reason) }
+
+// checkAccess returns an accessError for a request without a valid key whose body may be large, so that it holds no memory.
+func (e *edge) checkAccess(r *http.Request) error {
+	if r.ContentLength >= 0 && r.ContentLength <= reserver.SmallBytes {
+		return nil
+	}
+	call, err := platform.DecodeCall(r, nil, time.Now())
+	if err != nil {
+		return nil // It is refused once the body has arrived.
+	}
+	if refusal := e.relayer.CheckAccess(call); refusal != nil {
+		return &accessError{refusal: *refusal}
+	}
+	return nil
+}
+
 // stopped reports whether a stopping daemon has cancelled the request.
 func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), relayer.ErrStopping) }
 
@@ -88,10 +112,14 @@
 	e.daemon.logger.Debug("failed to read the request body", "error", err)
 	var tooLarge *http.MaxBytesError
 	var full *reserver.FullError
+	var access *accessError
 	refusal := relayer.Refusal{Status: http.StatusBadRequest, Reason: relayer.ReasonMalformed, NotRun: true, CloseConnection: true}
 	switch {
 	case errors.As(err, &tooLarge):
 		refusal.Status, refusal.Reason = http.StatusRequestEntityTooLarge, relayer.ReasonTooLarge
+	case errors.As(err, &access):
+		refusal = access.refusal
+		refusal.CloseConnection = true
 	case errors.As(err, &full):
 		refusal = relayer.NoMemory(full.RetryAfter)
 	case errors.Is(err, errBodyTimeout):
--- a/relayer/admission.go
+++ b/relayer/admission.go
@@ -7,6 +7,21 @@
 	"github.com/rosemaryrill/rosemaryrill/cataloger"
 )
 
+// CheckAccess returns the refusal of a call whose route needs a key that it doesn't have, or nil. It needs no body, so that none is read for such a
+// call. What it lets pass is checked again by Relay.
+func (r *Relayer) CheckAccess(call *Call) *Refusal {
+	catalog := r.settings.Configuration.Catalog()
+	if catalog == nil {
+		return nil
+	}
+	route, found := catalog.Match(call.Host, call.Path)
+	if !found {
+		return nil
+	}
+	request := &relayedRequest{relayer: r, call: call}
+	return request.authorize(catalog, route)
+}
+
 // admit checks the request against the newest configuration, and sets its route, account, service and
 // deadline. It returns a refusal if the request is not allowed.
 func (r *relayedRequest) admit() *Refusal {
