--- a/allocator/ask.go
+++ b/allocator/ask.go
@@ -1,8 +1,6 @@
 package allocator
 
-import (
-	"github.com/rosemaryrill/rosemaryrill/clocker"
-)
+import "github.com/rosemaryrill/rosemaryrill/clocker"
 
 // ask returns the messages to the coordinator and to those that might be it.
 func (n *Node) ask(waiting bool) (messages []Outgoing) {
--- a/allocator/term.go
+++ b/allocator/term.go
@@ -1,8 +1,6 @@
 package allocator
 
-import (
-	"slices"
-)
+import "slices"
 
 // setShare sets the share of a coordinator that creates units. Buckets are filled under the old share before.
 func (n *Node) setShare(share float64) {
