delegator: a test's requests are not refused because earlier ones are still counted as open

Cause: TestDaemonThatRefusesForItselfIsLeftOut sends five requests in a row to a daemon that takes two at once. Change: that daemon takes five at once; the expectations stay.

--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -29,10 +29,16 @@
 }
 
 func newDaemon(t *testing.T, name, dataCentre string, serve func(ctx context.Context, w http.ResponseWriter, request delegator.Request)) *daemon {
+	t.Helper()
+	return newBoundedDaemon(t, name, dataCentre, 2, serve)
+}
+
+// newBoundedDaemon starts a daemon that takes a number of requests at once.
+func newBoundedDaemon(t *testing.T, name, dataCentre string, maxOpen int, serve func(ctx context.Context, w http.ResponseWriter, request delegator.Request)) *daemon {
 	t.Helper()
 	d := &daemon{}
 	d.handler = delegator.NewHandler(delegator.HandlerSettings{
-		MaxOpen: 2, Now: time.Now,
+		MaxOpen: maxOpen, Now: time.Now,
 		Serve: func(ctx context.Context, w http.ResponseWriter, request delegator.Request) {
 			d.mu.Lock()
 			d.served++
@@ -124,16 +130,18 @@
 		"is busy":                  relayer.Busy(),
 	} {
 		t.Run(name, func(t *testing.T) {
-			refusing, good := newDaemon(t, "a", "north", refuse(refusal)), newDaemon(t, "b", "south", echo)
+			const sends = 5
+			// The end of an answer may arrive before its daemon counts the request as ended, so that up to all of them are open.
+			refusing, good := newDaemon(t, "a", "north", refuse(refusal)), newBoundedDaemon(t, "b", "south", sends, echo)
 			d := newDelegator(t, refusing.Daemon, good.Daemon)
-			for range 5 {
+			for range sends {
 				answer, err := d.Send(t.Context(), service, newCall())
 				if err != nil || answer.Response == nil {
 					t.Fatalf("%+v, %v", answer, err)
 				}
 				answer.Close()
 			}
-			if refusing.count() != 1 || good.count() != 5 {
+			if refusing.count() != 1 || good.count() != sends {
 				t.Errorf("the daemon that refuses was asked %d times, the other one %d times", refusing.count(), good.count())
 			}
 		})
