--- a/admitter/service.go
+++ b/admitter/service.go
@@ -67,7 +67,7 @@
 func (s *service) work(request Request, now time.Time) float64 {
 	own := request.PromptTokens - request.SharedTokens
 	shared := float64(request.SharedTokens) * s.sharedRatio(now)
-	return requestOverhead + float64(max(own, 0)) + shared + float64(outputWeight*request.OutputTokens)
+	return requestOverhead + float64(max(own, 0)) + shared + outputWeight*float64(request.OutputTokens)
 }
 
 // sharedRatio returns the fraction of the tokens of shared prompt parts that targets prefilled lately.
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -9,14 +9,12 @@
 
 // shedCount counts the requests that were shed since the last log line, by account.
 type shedCount struct {
-	total     int64
 	byAccount map[string]int
 	loggedAt  time.Time
 	wasShort  bool
 }
 
 func (c *shedCount) add(request Request) {
-	c.total++
 	if c.byAccount == nil {
 		c.byAccount = make(map[string]int)
 	}
--- a/allocator/account.go
+++ b/allocator/account.go
@@ -118,9 +118,13 @@
 	young bool
 }
 
-// capacity is the capacity of the token bucket.
+// capacity is the capacity of the token bucket. A bucket that counts requests holds at least one, so that a small part of the fleet can pass
+// requests at its part of the rate.
 func (a *account) capacity(t terms) float64 {
-	if t.majority || !a.inTokens {
+	switch {
+	case !a.inTokens:
+		return max(a.burst*t.share, 1)
+	case t.majority:
 		return a.burst * t.share
 	}
 	return (a.burst + isolatedExtra) * t.share
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -1,9 +1,9 @@
 // Package allocator enforces the quotas of client accounts over all daemons.
 //
-// Quota is created at one place and is transferred, never copied. Each of N daemons creates an N-th of each quota as time passes.
-// It transfers this fleet time to a coordinator, which fills one token bucket for each account with it and grants units to the
-// daemons that ask for them. A daemon without a coordinator uses its own part, so that the parts of a partitioned fleet together
-// stay within the quota.
+// Quota is created at one place and is transferred, never copied. Each of N daemons may create quota for an N-th of the elapsed time;
+// that part of the time is called its fleet time. A daemon transfers its fleet time to a coordinator, which refills one token bucket for
+// each account with it and grants units to the daemons that ask for them. A daemon without a coordinator uses its own fleet time, so that
+// the parts of a partitioned fleet together stay within the quota.
 //
 // A daemon's coordinator is the best ranked daemon of its data centre that answers, and that one's is the best ranked of the fleet;
 // in a small fleet all have the same one. Messages contain totals and name the incarnations of sender and receiver, so that lost,
@@ -122,6 +122,11 @@
 // poke changes the node and makes the loop compute anew when the next messages are due.
 func (a *Allocator) poke(change func(node *Node, now clocker.Instant)) {
 	a.step(change)
+	a.wakeLoop()
+}
+
+// wakeLoop makes the loop compute anew when it has to act next.
+func (a *Allocator) wakeLoop() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -158,7 +163,9 @@
 		a.settings.Logger.Warn("received a malformed quota message", "from", daemon, "error", err)
 		return
 	}
-	a.step(func(node *Node, now clocker.Instant) { node.Receive(daemon, message, now) })
+	if a.step(func(node *Node, now clocker.Instant) { node.Receive(daemon, message, now) }) <= queueWake {
+		a.wakeLoop() // Something waits now, and the loop may sleep for longer.
+	}
 }
 
 // Acquire implements relayer.Quotas. It waits up to MaxWait.
--- a/allocator/exchange.go
+++ b/allocator/exchange.go
@@ -68,7 +68,8 @@
 	}
 	gained := max(message.Time-c.received, 0)
 	c.received += gained
-	if isNew && message.Echo != 0 && n.now.Sub(message.Echo) <= maxEchoAge {
+	echoAge := n.now.Sub(message.Echo)
+	if isNew && message.Echo != 0 && echoAge >= 0 && echoAge <= maxEchoAge {
 		c.share, c.freshAt = message.Share, n.now
 	} else {
 		isNew = false
@@ -106,7 +107,7 @@
 	n.watch(a)
 }
 
-// withdrawUnlisted drops the needs of a daemon that it does not tell any more.
+// withdrawUnlisted drops the needs that a daemon no longer reports.
 func (n *Node) withdrawUnlisted(a *account, claim *claim, want Want) {
 	listed := make(map[uint64]bool, len(want.Needs))
 	for _, need := range want.Needs {
--- a/allocator/peer.go
+++ b/allocator/peer.go
@@ -91,7 +91,7 @@
 // become records that the daemon has another incarnation. Nothing that was transferred to the former one is transferred again.
 func (c *coordinator) become(incarnation uint64) {
 	c.retired, c.incarnation = c.incarnation, incarnation
-	c.transferred, c.seen, c.leaving = 0, make(map[AccountHash]uint64), false
+	c.echo, c.transferred, c.seen, c.leaving = 0, 0, make(map[AccountHash]uint64), false
 }
 
 // child is one incarnation of a daemon that has sent messages to this one.
--- a/allocator/queue.go
+++ b/allocator/queue.go
@@ -52,7 +52,7 @@
 	a.fill(t)
 	for len(a.entries) > 0 {
 		e := a.entries[0]
-		if !now.Before(e.deadline) {
+		if a.available(t, now) < a.threshold(e.missing(), t) && !now.Before(e.deadline) {
 			a.refuse(e, a.wait(e, t, now), now)
 			continue
 		}
--- a/assembler/bodies.go
+++ b/assembler/bodies.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
@@ -23,9 +24,6 @@
 	maxInternalHeaderBytes = 16 << 10
 )
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
 // errBodyTimeout is the cause if the body of a request did not arrive in time.
 var errBodyTimeout = errors.New("the body did not arrive in time")
 
@@ -45,14 +43,14 @@
 	control := http.NewResponseController(w)
 	share, err = e.daemon.memory.Acquire(r.Context(), reserver.Claim{
 		Account: e.accountName(r.Header), Bytes: reserver.FirstBytes(r.ContentLength),
-		Interrupt: func() { _ = control.SetReadDeadline(longAgo) }, // Fails only if the connection is closed.
+		Interrupt: func() { _ = control.SetReadDeadline(dialer.ExpiredDeadline) }, // Fails only if the connection is closed.
 	})
 	if err != nil {
 		return nil, nil, err
 	}
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if share.Evicted() || stopped(r.Context()) { // The deadline of the interruption is lost.
-		_ = control.SetReadDeadline(longAgo)
+		_ = control.SetReadDeadline(dialer.ExpiredDeadline)
 	}
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	body, err = reserver.Body{Reader: reader, Length: r.ContentLength, Share: share}.ReadAll(r.Context())
--- a/assembler/caches.go
+++ b/assembler/caches.go
@@ -83,7 +83,9 @@
 		polled = append(polled, poller.Target{Name: engine.ID, Address: engine.Address})
 	}
 	for _, store := range c.stores {
-		polled = append(polled, poller.Target{Name: store.Name, Address: store.Address})
+		if store.Address.IsValid() {
+			polled = append(polled, poller.Target{Name: store.Name, Address: store.Address})
+		}
 	}
 	c.poller.SetTargets(polled)
 }
--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -60,11 +60,13 @@
 	if limit <= 0 {
 		return d.add(conn)
 	}
-	open := d.snapshot()
-	if len(open) >= limit-max(int(spareRatio*float64(limit)), 1) {
-		d.displace(open)
+	d.mu.Lock()
+	open := len(d.connections)
+	d.mu.Unlock()
+	if open >= limit-max(int(spareRatio*float64(limit)), 1) {
+		d.displace(d.snapshot())
 	}
-	if len(open) >= limit {
+	if open >= limit {
 		d.refused.Add(1)
 		_ = conn.Close() // Nothing was read from it.
 		return nil
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -127,6 +127,9 @@
 	c.keep()
 	if c.state != stateServing && c.state != stateEnding {
 		c.state, c.since = stateReceiving, time.Now()
+		if c.multiplexed {
+			return nil // These may be frames that belong to no request.
+		}
 		return c.takeHead(bytes)
 	}
 	return nil
@@ -187,6 +190,7 @@
 		c.keep()
 		c.multiplexed = multiplexed
 		c.state, c.since = stateServing, time.Now()
+		_ = c.Conn.SetWriteDeadline(time.Time{}) // That of the last answer has passed, perhaps.
 	case http.StateIdle:
 		c.giveHeadBack()
 		c.state, c.since = stateIdle, time.Now()
--- a/loader/table.go
+++ b/loader/table.go
@@ -150,6 +150,7 @@
 	}
 }
 
+// flagField declares a switch.
 func flagField(name, meaning string, valueIn func(*Settings) *bool) field {
 	return field{
 		name: name, form: "true or false", meaning: meaning,
--- a/placer/room.go
+++ b/placer/room.go
@@ -116,8 +116,9 @@
 	u.set(key, used, tokens, now)
 }
 
-// noteUse counts a request of a peer.
+// noteUse counts a request of a peer. Parts that are no longer in use are forgotten.
 func (u *partUse) noteUse(key partKey, tokens int, now, until time.Time) {
+	u.tokens(now)
 	used := u.parts[key]
 	used.peersUntil = until
 	u.set(key, used, tokens, now)
--- a/relayer/quota.go
+++ b/relayer/quota.go
@@ -61,7 +61,7 @@
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, NotRun: true, RetryAfter: exceeded.RetryAfter}
 	}
 	r.cause = err
-	return unavailable(ReasonQuota, quotaRetryAfter)
+	return unavailable(ReasonNotInTime, quotaRetryAfter) // The deadline passed, or the caller left, while the request waited.
 }
 
 // noteCharge remembers what to give back if no target runs the request from now on.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -191,7 +191,7 @@
 	Find(ctx context.Context, stream recorder.Stream) (software string, known bool)
 }
 
-// Settings are the parameters of a Relayer. Origins, Admission, Delegator, Crashes, Logger, Tracer and Observe are optional.
+// Settings are the parameters of a Relayer. Origins, Quotas, Admission, Delegator, Crashes, Logger, Tracer and Observe are optional.
 type Settings struct {
 	Configuration Configuration
 	Placer        Placer
--- a/reserver/handler.go
+++ b/reserver/handler.go
@@ -39,6 +39,9 @@
 	n, err = r.ReadCloser.Read(p[:min(int64(len(p)), r.reserved-r.read)])
 	r.read += int64(n)
 	r.share.Received(n)
+	if err == io.EOF && !r.share.Complete(messageCopies*int(r.read)) {
+		return n, &FullError{}
+	}
 	return n, err
 }
 
@@ -63,8 +66,8 @@
 	return share, nil
 }
 
-// Handler returns a handler of messages that takes memory for each before it is read, and refuses it with status 503 if there is none. Its
-// answers are sent when the message has arrived.
+// Handler returns a handler that takes memory for each message before it is read. If there is none, it answers with status 503 and closes the
+// connection.
 func (m *Memory) Handler(next http.Handler, account string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		share, err := m.AcquireMessage(w, r, account)
