--- a/delegator/intake.go
+++ b/delegator/intake.go
@@ -50,6 +50,8 @@
 		admission := &intake{share: share}
 		var full *reserver.FullError
 		if errors.As(err, &full) {
+			message := r.Body
+			defer func() { reserver.DiscardRefused(w, message) }()
 			refusal := relayer.NoMemory(full.RetryAfter)
 			admission.refusal = &refusal
 			w.Header().Set("Connection", "close")
