--- a/reserver/handler.go
+++ b/reserver/handler.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/dialer"
 )
 
 const (
@@ -57,7 +59,7 @@
 	control := http.NewResponseController(w)
 	share, err = m.Acquire(r.Context(), Claim{
 		Account: account, Bytes: messageCopies * int(first),
-		Interrupt: func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }, // Fails only if the connection is closed.
+		Interrupt: func() { _ = control.SetReadDeadline(dialer.ExpiredDeadline) }, // Fails only if the connection is closed.
 	})
 	if err != nil {
 		return nil, err
