--- a/allocator/message.go
+++ b/allocator/message.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/rosemaryrill/rosemaryrill/clocker"
+	"github.com/rosemaryrill/rosemaryrill/fieldreader"
 )
 
 // The field numbers of a message and, after the blank lines, of its submessages. The encoding is that of protocol buffers.
@@ -270,29 +271,10 @@
 	return numbers, nil
 }
 
-// decodeFields calls onVarint or onBytes for each field of a message. Other wire types are skipped.
+// decodeFields calls onVarint or onBytes for each field of a message.
 func decodeFields(message []byte, onVarint func(protowire.Number, uint64), onBytes func(protowire.Number, []byte) error) error {
-	for len(message) > 0 {
-		field, kind, n := protowire.ConsumeTag(message)
-		if n < 0 {
-			return errMalformed
-		}
-		length := protowire.ConsumeFieldValue(field, kind, message[n:])
-		if length < 0 {
-			return errMalformed
-		}
-		value := message[n : n+length]
-		message = message[n+length:]
-		switch kind {
-		case protowire.VarintType:
-			number, _ := protowire.ConsumeVarint(value)
-			onVarint(field, number)
-		case protowire.BytesType:
-			content, _ := protowire.ConsumeBytes(value)
-			if err := onBytes(field, content); err != nil {
-				return err
-			}
-		}
+	if fieldreader.Read(message, onBytes, onVarint) != nil {
+		return errMalformed
 	}
 	return nil
 }
--- a/broadcaster/message.go
+++ b/broadcaster/message.go
@@ -1,13 +1,13 @@
 package broadcaster
 
 import (
-	"errors"
 	"math"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/rosemaryrill/rosemaryrill/attributor"
+	"github.com/rosemaryrill/rosemaryrill/fieldreader"
 	"github.com/rosemaryrill/rosemaryrill/placer"
 	"github.com/rosemaryrill/rosemaryrill/recorder"
 )
@@ -68,7 +68,7 @@
 	fieldEnded protowire.Number = 4
 )
 
-var errMalformed = errors.New("malformed message")
+var errMalformed = fieldreader.ErrMalformed
 
 // Scope tells whose state a message contains.
 type Scope uint8
@@ -291,7 +291,7 @@
 // Decode decodes a datagram, which must not change while the message is used. Unknown fields are skipped.
 func Decode(datagram []byte) (message Message, err error) {
 	update := &message.Update
-	err = decodeFields(datagram, func(field protowire.Number, value []byte) error {
+	err = fieldreader.Read(datagram, func(field protowire.Number, value []byte) error {
 		switch field {
 		case fieldName:
 			message.Sender = string(value)
@@ -363,33 +363,6 @@
 	}
 }
 
-// decodeFields calls onBytes or onVarint for each field of a message. Other wire types are skipped.
-func decodeFields(message []byte, onBytes func(protowire.Number, []byte) error, onVarint func(protowire.Number, uint64)) error {
-	for len(message) > 0 {
-		field, kind, n := protowire.ConsumeTag(message)
-		if n < 0 {
-			return errMalformed
-		}
-		length := protowire.ConsumeFieldValue(field, kind, message[n:])
-		if length < 0 {
-			return errMalformed
-		}
-		value := message[n : n+length]
-		message = message[n+length:]
-		switch kind {
-		case protowire.BytesType:
-			content, _ := protowire.ConsumeBytes(value)
-			if err := onBytes(field, content); err != nil {
-				return err
-			}
-		case protowire.VarintType:
-			content, _ := protowire.ConsumeVarint(value)
-			onVarint(field, content)
-		}
-	}
-	return nil
-}
-
 // submessage is a decoded submessage: its string, if it has one, and its numbers by field.
 type submessage struct {
 	text    string
@@ -397,7 +370,7 @@
 }
 
 func decodeSubmessage(message []byte) (s submessage, err error) {
-	err = decodeFields(message,
+	err = fieldreader.Read(message,
 		func(_ protowire.Number, value []byte) error {
 			s.text = string(value)
 			return nil
