--- a/cmd/rilld/hostile_clients_test.go
+++ b/cmd/rilld/hostile_clients_test.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
-	"testing"
 	"time"
 )
 
@@ -182,38 +180,3 @@
 		}
 	}
 }
-
-// startHostileServe starts rilld serve with a platform, an engine and a service.
-func startHostileServe(t *testing.T, folder string) *hostile {
-	h := newHostile(t, folder)
-	h.largestBody, h.memoryBytes = serveBody, serveMemory
-	f := &fleet{processes: h.processes, platform: freeAddress(t), engines: []string{freeAddress(t)}, services: []string{freeAddress(t)}}
-	h.start("platform", "rillbench", "platform", "--listen", f.platform)
-	h.start("engine", "rillbench", "engine", "--listen", f.engines[0], "--weights", "w1")
-	h.start("service", "rillbench", "service", "--listen", f.services[0])
-	h.await("http://" + f.platform + "/v1/hosts")
-	f.daemons = []daemonPorts{{name: "daemon", callers: h.ports["callers"], peers: h.ports["peers"], operators: h.ports["operators"]}}
-	memory := ""
-	if known, err := h.run("rilld", "settings"); err == nil && strings.Contains(known, "limits.memory_bytes") {
-		memory = fmt.Sprintf(`"memory_bytes": %d,`, int64(serveMemory)) // Releases without this setting bound nothing.
-	}
-	h.startLimited("serve", "--log=false", "--config", h.write("hostile-serve.jsonc", fmt.Sprintf(`{
-  "name": "daemon", "data_centre": "sapporo", "callers_listen": %q, "peers_listen": %q, "operators_listen": %q, "peers_advertise": %q,
-  "platform": [%q], "limits": {%s "max_body_bytes": %d},
-}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], h.ports["peers"], f.platform, memory, serveBody)))
-	h.await("http://" + h.ports["callers"] + "/healthz")
-	f.apply(f.configuration(""))
-	h.await("http://" + h.ports["callers"] + "/readyz")
-	h.newRequest = func(bodyBytes int) *http.Request {
-		body := []byte(`{"item":"wheel"}`)
-		body = append(body, bytes.Repeat([]byte(" "), max(bodyBytes-len(body), 0))...)
-		request, err := http.NewRequest(http.MethodPost, "http://"+h.ports["callers"]+placePath, bytes.NewReader(body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set("Authorization", "Bearer other-key")
-		request.Header.Set("Idempotency-Key", fmt.Sprint("o", ordinaryCount.Add(1)))
-		return request
-	}
-	return h
-}
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -36,6 +36,9 @@
 	// ordinaryTries and ordinaryPause bound how often the ordinary caller comes back after a refusal.
 	ordinaryTries = 40
 	ordinaryPause = 250 * time.Millisecond
+	// restTries bounds how long a daemon may take to come back to rest, and restDescriptors what it has open then.
+	restTries       = 160
+	restDescriptors = 64
 )
 
 // hostile is one daemon as a process, its ports, and one ordinary request to it.
@@ -48,6 +51,10 @@
 	// largestBody is the size of the largest legal body.
 	largestBody int
 	memoryBytes float64
+	// client sends the ordinary requests.
+	client *http.Client
+	// metrics is the URL of the daemon's metrics.
+	metrics string
 }
 
 // hostileClient is one client: it does what it does with its connection, which the crowd closes at the end.
@@ -90,6 +97,7 @@
 
 func newHostile(t *testing.T, folder string) *hostile {
 	h := &hostile{processes: &processes{t: t, folder: folder, running: make(map[string]*process)}, ports: make(map[string]string)}
+	h.client = &http.Client{Timeout: hostileTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	t.Cleanup(h.close)
 	for _, port := range []string{"callers", "peers", "operators", "ready", "metrics"} {
 		h.ports[port] = freeAddress(t)
@@ -101,6 +109,7 @@
 func startHostileFront(t *testing.T, folder string) *hostile {
 	h := newHostile(t, folder)
 	h.largestBody, h.memoryBytes = hostileBody, hostileMemory
+	h.metrics = "http://" + h.ports["metrics"] + "/metrics"
 	store := hostingemulator.NewStore()
 	if err := store.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
 		t.Fatal(err)
@@ -167,6 +176,7 @@
 	h.expectAnswer(h.largestBody)
 	close(release)
 	holding.Wait()
+	h.expectRest()
 	peak := watch.end()
 	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, unread with it at most %.0f MB), most descriptors %d", c.name,
 		peak.bytes()/1e6, peak.resident/1e6, peak.withUnread/1e6, peak.descriptors)
@@ -185,10 +195,9 @@
 
 // expectAnswer sends an ordinary request until it is answered. Refusals are allowed, as to callers that come back.
 func (h *hostile) expectAnswer(bodyBytes int) {
-	client := &http.Client{Timeout: hostileTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	var last string
 	for range ordinaryTries {
-		response, err := client.Do(h.newRequest(bodyBytes))
+		response, err := h.client.Do(h.newRequest(bodyBytes))
 		if err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
@@ -202,6 +211,38 @@
 	h.t.Errorf("no answer to an ordinary request with a body of %d bytes: %s", bodyBytes, last)
 }
 
+// expectRest waits until the requests of a crowd that has left hold no memory of the daemon, and their connections no descriptors.
+func (h *hostile) expectRest() {
+	var held float64
+	var open int
+	for range restTries {
+		held = h.metric("rill_request_memory_bytes")
+		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", h.running["daemon"].command.Process.Pid)) // None of a process that has ended.
+		if open = len(entries); held == 0 && open <= restDescriptors {
+			return
+		}
+		time.Sleep(ordinaryPause)
+	}
+	h.t.Errorf("after the crowd has left, %.0f bytes are held for requests and %d descriptors are in use", held, open)
+}
+
+// metric returns a figure of the daemon, or -1 if it tells none.
+func (h *hostile) metric(name string) float64 {
+	response, err := h.client.Get(h.metrics)
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, _ := io.ReadAll(response.Body)
+	for line := range strings.Lines(string(content)) {
+		if fields := strings.Fields(line); len(fields) > 1 && strings.HasPrefix(fields[0], name) {
+			value, _ := strconv.ParseFloat(fields[len(fields)-1], 64)
+			return value
+		}
+	}
+	return -1
+}
+
 // peak is the most that a process has used.
 type peak struct {
 	// resident is the highest resident memory, and withUnread the highest sum of that and what it had not yet read of its connections.
--- a/cmd/rilld/processes_test.go
+++ b/cmd/rilld/processes_test.go
@@ -140,10 +140,16 @@
 
 // await polls the URL until it answers with status 200.
 func (p *processes) await(url string) {
+	p.t.Helper()
+	p.awaitBy(http.DefaultClient, url)
+}
+
+// awaitBy polls the URL with a client until it answers with status 200.
+func (p *processes) awaitBy(client *http.Client, url string) {
 	p.t.Helper()
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) {
-		response, err := http.Get(url)
+		response, err := client.Get(url)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- a/cmd/rilld/whole_test.go
+++ b/cmd/rilld/whole_test.go
@@ -32,6 +32,8 @@
 	engines  []string
 	services []string
 	daemons  []daemonPorts
+	// operatorFlags are further flags of rillctl.
+	operatorFlags []string
 }
 
 func startFleet(t *testing.T) *fleet {
@@ -129,7 +131,8 @@
 	var err error
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) {
-		output, err = f.run("rillctl", "--daemon", f.daemons[0].operators, "--timeout", "10s", "apply", "--wait", path)
+		arguments := append([]string{"--daemon", f.daemons[0].operators, "--timeout", "10s"}, f.operatorFlags...)
+		output, err = f.run("rillctl", append(arguments, "apply", "--wait", path)...)
 		if err == nil {
 			return
 		}
