rilld: the crowds at the peers' port send sections that daemons take in (tests)

Sections of daemons of another data centre are passed over, and the topic of usages is called model_use. Rows for elements that are no messages and for separators that grow when they are escaped. No product code has changed yet; not run yet.

--- a/cmd/rilld/hostile_parsed_test.go
+++ b/cmd/rilld/hostile_parsed_test.go
@@ -27,9 +27,12 @@
 	emptyParts    = repeatedBody(`{"model":"m","messages":[{"role":"user","content":[`, `{"type":"text","text":""},`, `{"type":"text","text":""}]}]}`)
 	tinyParts     = repeatedBody(`{"model":"m","messages":[{"role":"user","content":[`, `{"type":"text","text":"x"},`, `{"type":"text","text":"x"}]}]}`)
 	tinyMessages  = repeatedBody(`{"model":"m","messages":[`, `{"role":"u","content":""},`, `{"role":"u","content":""}]}`)
-	// bracketText grows when it is escaped, and invalidText when it is decoded.
-	bracketText = repeatedBody(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"`, `<`, `"}]}`)
-	invalidText = repeatedBody(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"`, "\xff", `"}]}`)
+	// bareElements are no messages.
+	bareElements = repeatedBody(`{"model":"m","messages":[`, `0,`, `0]}`)
+	// bracketText and separatorText grow when they are escaped, and invalidText when it is decoded.
+	bracketText   = repeatedBody(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"`, `<`, `"}]}`)
+	separatorText = repeatedBody(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"`, "\u2028", `"}]}`)
+	invalidText   = repeatedBody(`{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"`, "\xff", `"}]}`)
 	// manyStops and manyBiases are options, which daemons pass on to the engine as they are.
 	manyStops  = repeatedBody(`{"model":"m","messages":[{"role":"user","content":"x"}],"stop":[`, `"",`, `""]}`)
 	manyBiases = repeatedBody(`{"model":"m","messages":[{"role":"user","content":"x"}],"logit_bias":{`, `"":1,`, `"":1}}`)
@@ -37,10 +40,12 @@
 
 var serveParsedCases = []hostileCase{
 	{"empty messages", "callers", 60, sendContent(chat, emptyMessages, serveBody)},
+	{"elements that are no messages", "callers", 60, sendContent(chat, bareElements, serveBody)},
 	{"empty parts", "callers", 60, sendContent(chat, emptyParts, serveBody)},
 	{"tiny parts", "callers", 60, sendContent(chat, tinyParts, serveBody)},
 	{"tiny messages", "callers", 60, sendContent(chat, tinyMessages, serveBody)},
 	{"text that grows when escaped", "callers", 160, sendContent(chat, bracketText, serveBody)},
+	{"separators that grow when escaped", "callers", 160, sendContent(chat, separatorText, serveBody)},
 	{"text that grows when decoded", "callers", 160, sendContent(chat, invalidText, serveBody)},
 	{"many stops", "callers", 60, sendContent(chat, manyStops, serveBody)},
 	{"many biases", "callers", 60, sendContent(chat, manyBiases, serveBody)},
@@ -48,7 +53,7 @@
 	{"empty members of peers, compressed", "peers", 40, sendMessage(exchange, repeatedField(2, nil), true)},
 	{"empty members of peers in JSON", "peers", 40, sendContent(jsonOf(exchange), repeatedBody(`{"members":[`, `{},`, `{}]}`), peerBytes)},
 	{"empty observations of peers", "peers", 40, sendMessage(exchange, sectionOf("targets", repeatedField(1, nil)), false)},
-	{"empty usages of peers", "peers", 40, sendMessage(exchange, sectionOf("usage", repeatedField(1, nil)), false)},
+	{"empty usages of peers", "peers", 40, sendMessage(exchange, sectionOf("model_use", repeatedField(1, nil)), false)},
 	{"empty strikes of peers", "peers", 40, sendMessage(exchange, sectionOf("crashes", repeatedBody(`{"strikes":[`, `{},`, `{}]}`)), false)},
 	{"unknown fields of peers, compressed", "peers", 40, sendMessage(fetchEntries, repeatedField(15, nil), true)},
 	{"copies of records", "peers", 40, sendMessage(copyRecord, withField(1, "batch", 2), false)},
@@ -161,7 +166,7 @@
 // sectionOf returns the message of a daemon with a section that holds content.
 func sectionOf(topic string, content sized) sized {
 	return func(length int) []byte {
-		from := appendField(appendField(nil, 1, []byte("other")), 3, []byte("127.0.0.1:1"))
+		from := appendField(appendField(appendField(nil, 1, []byte("other")), 3, []byte("127.0.0.1:1")), 4, []byte("sapporo"))
 		section := appendField(appendField(nil, 1, []byte(topic)), 2, content(length-fieldBytes))
 		return appendField(appendField(nil, 1, from), 4, section)
 	}
