operator: a call without TLS to a port that speaks it says so

Cause: package net/http answers such a call with a text of HTTP/1.0, which the generated client takes for an answer of the service.

Change: the client recognizes that answer, and returns an EncryptedPortError that names what is needed. Nothing was run.

runner TestConfigurationReplicatesOverTLS checks it; before, the error was another one.

--- a/operator/client.go
+++ b/operator/client.go
@@ -56,7 +56,7 @@
 	interceptor := connect.UnaryInterceptorFunc(c.authorize)
 	for _, daemon := range settings.Daemons {
 		service := operatorv1connect.NewOperatorServiceClient(
-			&http.Client{Transport: transport},
+			&http.Client{Transport: &encryptionChecker{next: transport}},
 			scheme+daemon.String(),
 			connect.WithInterceptors(interceptor),
 			connect.WithReadMaxBytes(maxMessageBytes),
@@ -85,7 +85,7 @@
 type rpcMethod[Q, A any] func(operatorv1connect.OperatorServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error)
 
 // call sends the request to the daemons in order until one answers. It stops at a rejected token,
-// an unknown object or an error for which mayRetry is false, and returns an UnreachableError if
+// a port that speaks TLS, an unknown object or an error for which mayRetry is false, and returns an UnreachableError if
 // every daemon failed.
 func call[Q, A any](ctx context.Context, c *Client, mayRetry func(error) bool, message *Q, method rpcMethod[Q, A]) (answer *A, err error) {
 	unreachable := &UnreachableError{}
@@ -97,6 +97,10 @@
 		if connect.CodeOf(err) == connect.CodeUnauthenticated {
 			return nil, &UnauthenticatedError{Daemon: c.settings.Daemons[i]}
 		}
+		var encrypted *EncryptedPortError
+		if errors.As(err, &encrypted) {
+			return nil, &EncryptedPortError{Daemon: c.settings.Daemons[i]}
+		}
 		if unknown, ok := unknownObjectFromWire(err); ok {
 			return nil, unknown
 		}
@@ -159,7 +163,8 @@
 	var unreachable *UnreachableError
 	var denied *UnauthenticatedError
 	var unknown *UnknownObjectError
-	if errors.As(err, &unreachable) || errors.As(err, &denied) || errors.As(err, &unknown) {
+	var encrypted *EncryptedPortError
+	if errors.As(err, &unreachable) || errors.As(err, &denied) || errors.As(err, &unknown) || errors.As(err, &encrypted) {
 		return err
 	}
 	return commitErrorFromWire(err)
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -102,6 +102,16 @@
 	return "no daemon took the call: " + strings.Join(parts, "; ")
 }
 
+// EncryptedPortError reports that the operators' port of a daemon speaks TLS and the call did not, so that it was not run.
+type EncryptedPortError struct {
+	Daemon netip.AddrPort
+}
+
+// Error names the daemon and what is needed.
+func (e *EncryptedPortError) Error() string {
+	return fmt.Sprintf("%s speaks TLS; the certificate of the authority that signed its certificate is needed (--authority)", e.Daemon)
+}
+
 // UnauthenticatedError reports that a daemon rejected the operators' token.
 type UnauthenticatedError struct {
 	Daemon netip.AddrPort
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -141,6 +141,11 @@
 	if status, err := operators.Status(t.Context()); err != nil || status.Revision != 1 {
 		t.Errorf("operators over TLS: %+v, %v", status, err)
 	}
+	plain := operator.NewClient(operator.ClientSettings{Daemons: []netip.AddrPort{one.OperatorsAddress()}})
+	var encrypted *operator.EncryptedPortError
+	if _, err := plain.Status(t.Context()); !errors.As(err, &encrypted) || encrypted.Daemon != one.OperatorsAddress() {
+		t.Errorf("operators without TLS: %v", err)
+	}
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
 	response, err := client.Get("https://" + one.CallersAddress().String() + "/healthz")
 	if err != nil || response.StatusCode != http.StatusOK {
