encoder, forwarder, server: JSON for engines and callers isn't escaped for HTML

A chat of '<' became six times as long in the request to the engine, which counts as one copy of the body, and an answer likewise. encoding/json escapes characters of HTML unless it is told not to; nothing here is put into pages. Callers' and engines' decoders see the same values.

--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/encoder"
 )
 
 // Headers of requests and responses.
@@ -140,7 +142,7 @@
 	if call.Continue.Tokens > 0 {
 		wire.ContinueFrom = &wireContinuation{Text: call.Continue.Text, Tokens: call.Continue.Tokens}
 	}
-	encoded, err := json.Marshal(wire)
+	encoded, err := encoder.JSON(wire)
 	if err != nil || call.Options == "" {
 		return encoded, err
 	}
--- a/server/options.go
+++ b/server/options.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 
+	"github.com/rosemaryrill/rosemaryrill/encoder"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 )
 
@@ -34,7 +35,7 @@
 
 // encodeOptions returns the options as one JSON object, or an empty string if there are none.
 func (o wireOptions) encodeOptions() (options string, refusal *refuser.Refusal) {
-	encoded, err := json.Marshal(o)
+	encoded, err := encoder.JSON(o)
 	if err != nil {
 		return "", refuser.New(refuser.CodeBadRequest, "the sampling fields cannot be read").WithCause(err)
 	}
--- a/server/write.go
+++ b/server/write.go
@@ -1,12 +1,12 @@
 package server
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/completer"
+	"github.com/rosemaryrill/rosemaryrill/encoder"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 )
 
@@ -167,7 +167,7 @@
 }
 
 func (s *streamAnswer) send(value any) error {
-	data, err := json.Marshal(value)
+	data, err := encoder.JSON(value)
 	if err != nil {
 		return err
 	}
