server: what a chat's values take once they are decoded counts as memory

What callers saw: 60 whole chats of 1 MiB whose list of messages is '{},{},...' or '0,0,...' took rilld serve to 226 and 411 MB of 192 MB, 8 of 16 MiB with the default settings to 1,932 MB of 1,074 MB; over TLS 239 MB. One chat of 16 MiB of parts kept a core busy for many seconds, whatever its deadline.

Cause: a chat took three times its body as memory. An element of two or three bytes becomes a struct of 24 to 40, in slices that grow, and is decoded twice. Bytes that are not UTF-8 become three each. The parts of a message were joined one after the other, which copies all before them: work with the square of their number.

Beyond limits.max_list_elements (100,000 in all lists together, new) the chat is refused with bad_request, which names the limit; each element counts 256 bytes, and text that grows counts too. What is decoded has to fit even if the request is alone. Parts are joined once.

The default-size test asks for an ordinary body of 1 MiB now: the service of the tests takes no 16 MiB and answered 400, before and after.

--- a/cmd/rilld/hostile_parsed_test.go
+++ b/cmd/rilld/hostile_parsed_test.go
@@ -108,7 +108,9 @@
 		{"one text that grows when escaped", "callers", 1, sendContent(chat, bracketText, defaultBody)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			startServe(t, p.folder, serveHost{memoryBytes: defaultMemory, bodyBytes: defaultBody}).check(c)
+			h := startServe(t, p.folder, serveHost{memoryBytes: defaultMemory, bodyBytes: defaultBody})
+			h.largestBody = serveBody // The service of the test takes no more.
+			h.check(c)
 		})
 	}
 }
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -76,6 +76,8 @@
 			func(s *Settings) *int { return &s.Limits.MemoryBytes }),
 		bytesField("max_body_bytes", "Largest body of a request.",
 			func(s *Settings) *int { return &s.Limits.MaxBodyBytes }),
+		numberField("max_list_elements", "Maximum number of elements of all lists in the body of a model call together: its messages, their parts and others. A call with more is refused with bad_request.",
+			func(s *Settings) *int { return &s.Limits.MaxListElements }),
 		bytesField("max_header_bytes", "Largest header of a request.",
 			func(s *Settings) *int { return &s.Limits.MaxHeaderBytes }),
 		durationField("header_timeout", "How long a caller may take to send the header.",
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -90,13 +90,15 @@
 // at once, and the number of engines that load weights at once.
 type Limits struct {
 	// MemoryBytes is the memory that is available to the process.
-	MemoryBytes    int
-	MaxBodyBytes   int
-	MaxHeaderBytes int
-	HeaderTimeout  time.Duration
-	BodyTimeout    time.Duration
-	MaxConcurrent  int
-	QueueLength    int
+	MemoryBytes  int
+	MaxBodyBytes int
+	// MaxListElements is the maximum number of elements of all lists in a model call.
+	MaxListElements int
+	MaxHeaderBytes  int
+	HeaderTimeout   time.Duration
+	BodyTimeout     time.Duration
+	MaxConcurrent   int
+	QueueLength     int
 	// MaxLoads is the maximum number of engines in the data centre that load weights at once.
 	MaxLoads int
 	// DefaultDeadline is the time limit of a request that specifies no deadline.
@@ -177,6 +179,7 @@
 		Limits: Limits{
 			MemoryBytes:     1 << 30,
 			MaxBodyBytes:    16 << 20,
+			MaxListElements: 100_000,
 			MaxHeaderBytes:  64 << 10,
 			HeaderTimeout:   10 * time.Second,
 			BodyTimeout:     30 * time.Second,
--- a/reserver/memory.go
+++ b/reserver/memory.go
@@ -16,6 +16,8 @@
 	accountRatio = 0.75
 	// headsRatio is the part of what small requests have for themselves that long heads may take.
 	headsRatio = 0.5
+	// decodedRatio is the part of the memory that the values of a request may take although there is no room.
+	decodedRatio = 1.0 / 4
 	// SmallBytes is the size up to which a request counts as small.
 	SmallBytes = 64 << 10
 	// arrivalTime is the time in which a whole request has to arrive, and minRate the least number of bytes a second, while there is no
@@ -87,6 +89,17 @@
 	return fmt.Sprintf("no memory for the request; there may be some in %s", e.RetryAfter)
 }
 
+// TooLargeError is returned for a request whose values would take more memory than there is for all requests.
+type TooLargeError struct {
+	// Limit is what they may take, in bytes.
+	Limit int64
+}
+
+// Error names the limit.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the values in the request would take more than %d bytes of memory", e.Limit)
+}
+
 // NewMemory returns a Memory of a number of bytes.
 func NewMemory(bytes int) *Memory {
 	answers := int(answersRatio * float64(bytes))
@@ -191,6 +204,16 @@
 	return room, ofAccount == 0 || ofAccount+s.held+bytes <= m.accountBytes
 }
 
+// fitsDecoded is like fits for what is decoded of a request. That of one that is alone has to fit too, or stay within decodedRatio. The caller
+// holds mu.
+func (m *Memory) fitsDecoded(s *Share, bytes int64) (room, accountRoom bool) {
+	room, accountRoom = m.fits(s, bytes)
+	return room && (s.decoded+bytes <= m.littleDecoded() || m.held+bytes <= m.bodiesBytes), accountRoom
+}
+
+// littleDecoded returns how much may be decoded of a request that is alone, whatever else it holds.
+func (m *Memory) littleDecoded() int64 { return int64(decodedRatio * float64(m.bodiesBytes)) }
+
 // add changes what a share holds. The caller holds mu.
 func (m *Memory) add(s *Share, bytes int64) {
 	before := s.largeBytes()
--- a/reserver/share.go
+++ b/reserver/share.go
@@ -18,9 +18,13 @@
 
 	// The fields below are guarded by the memory's lock.
 	held int64
+	// decoded is the part of held for what is decoded of the request.
+	decoded int64
 	// behindAt is when the request counts as stalled unless more of it arrives.
 	behindAt time.Time
 	evicted  bool
+	// complete is set once the request has arrived whole.
+	complete bool
 }
 
 // largeBytes returns what the share holds if it counts as large.
@@ -33,21 +37,56 @@
 
 // Grow takes more memory. It waits only for that of requests which have just lost their place.
 func (s *Share) Grow(ctx context.Context, bytes int) (err error) {
+	return s.grow(ctx, bytes, (*Memory).fits)
+}
+
+// GrowDecoded takes more memory for what is decoded of a request. The limits on the sizes of requests don't bound it, so it may be refused
+// also if no other request is open.
+func (s *Share) GrowDecoded(ctx context.Context, bytes int) (err error) {
+	if err := s.checkDecoded(bytes); err != nil {
+		return err
+	}
+	if err := s.grow(ctx, bytes, (*Memory).fitsDecoded); s == nil || err != nil {
+		return err
+	}
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
+	s.decoded += int64(bytes)
+	return nil
+}
+
+// checkDecoded returns a TooLargeError if the memory would not do even without other requests.
+func (s *Share) checkDecoded(bytes int) error {
 	if s == nil {
 		return nil
 	}
 	m := s.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	most := max(m.littleDecoded(), m.bodiesBytes-(s.held-s.decoded))
+	if s.decoded+int64(bytes) > most {
+		return &TooLargeError{Limit: most}
+	}
+	return nil
+}
+
+// grow takes more memory if it fits.
+func (s *Share) grow(ctx context.Context, bytes int, fits func(*Memory, *Share, int64) (room, accountRoom bool)) (err error) {
+	if s == nil || bytes == 0 {
+		return nil
+	}
+	m := s.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var timeout <-chan time.Time
 	for {
 		if s.evicted {
 			return &FullError{RetryAfter: minRetryAfter, Stalled: true}
 		}
-		room, accountRoom := m.fits(s, int64(bytes))
+		room, accountRoom := fits(m, s, int64(bytes))
 		if room && accountRoom {
 			m.add(s, int64(bytes))
-			if _, arriving := m.arriving[s]; !arriving {
+			if _, arriving := m.arriving[s]; !arriving && !s.complete {
 				m.arriving[s] = struct{}{}
 				s.behindAt = m.now().Add(stallGrace)
 			}
@@ -127,6 +166,7 @@
 		return false
 	}
 	delete(m.arriving, s)
+	s.complete = true
 	if surplus := s.held - int64(bytes); surplus > 0 {
 		m.add(s, -surplus)
 		m.signal()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -388,6 +388,7 @@
 		Tracer:          d.observer.Tracer(),
 		Log:             d.observer.Log("server"),
 		MaxBodyBytes:    int64(d.settings.Limits.MaxBodyBytes),
+		MaxListElements: d.settings.Limits.MaxListElements,
 		MaxHeaderBytes:  d.settings.Limits.MaxHeaderBytes,
 		Memory:          d.memory,
 		MaxConnections:  d.connections.Callers,
--- a/server/chat.go
+++ b/server/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -116,6 +117,9 @@
 	if refusal != nil {
 		return request, false, nil, refusal
 	}
+	if refusal := s.takeDecoded(r.Context(), body, share); refusal != nil {
+		return request, false, share, refusal
+	}
 	request, stream, refusal = parseChat(body)
 	if refusal != nil {
 		return request, false, share, refusal
@@ -226,13 +230,14 @@
 	if err := json.Unmarshal(raw, &parts); err != nil {
 		return "", false
 	}
+	var joined strings.Builder
 	for _, part := range parts {
 		if part.Type != "text" {
 			return "", false
 		}
-		content += part.Text
+		joined.WriteString(part.Text)
 	}
-	return content, true
+	return joined.String(), true
 }
 
 func requestClass(header string, account *registrar.Account) (class completer.Class, refusal *refuser.Refusal) {
--- a/server/server.go
+++ b/server/server.go
@@ -54,6 +54,7 @@
 const (
 	defaultMaxBodyBytes   = 8 << 20
 	defaultMaxHeaderBytes = 32 << 10
+	defaultMaxElements    = 100_000
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultBodyTimeout    = 30 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
@@ -107,6 +108,8 @@
 	TLS *tls.Config
 	// MaxBodyBytes bounds a request's body; 8 MiB by default.
 	MaxBodyBytes int64
+	// MaxListElements bounds the elements of all lists in a chat, such as messages and their parts; 100,000 by default.
+	MaxListElements int
 	// MaxHeaderBytes bounds a request's headers; 32 KiB by default.
 	MaxHeaderBytes int
 	// HeaderTimeout bounds the time to receive the headers; 5 s by default.
@@ -125,6 +128,9 @@
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if s.MaxListElements == 0 {
+		s.MaxListElements = defaultMaxElements
+	}
 	if s.MaxHeaderBytes == 0 {
 		s.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
