reserver: messages of daemons and operators count with what they become when they are decoded

What was seen: 40 messages of 4 MiB to the peers' port of rilld serve took 492 MB of 192 MB (empty members), 5,316 MB (the same in gzip, 4 KB on the wire), 587 MB (in JSON), 1,214, 823 and 357 MB (sections of empty observations, usages and strikes), 505 and 208 MB (unknown fields and topics in gzip); to that of rilld front 295 and 512 MB of 112 MB (watches and look-ups in gzip) and 305 MB (empty headers of a passed on request). Without TLS, whoever reaches the ports can send them.

Cause: a message took three times its length on the wire as memory. connect-go unpacks gzip unless it is told not to, takes JSON too, and an empty message of two bytes becomes a struct of a hundred or two. The store's and the origins' messages in rilld front took none.

Sections of more than 16 KiB are passed over: daemons put 800 bytes into all of them. The headers of a passed on request keep counting while it is served.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -178,7 +178,7 @@
 	d.delegation = d.newDelegation()
 	d.createFollowers()
 	d.edge = d.newEdge()
-	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler, drainer.Settings{MaxConnections: d.connections.Peers, EndStalled: d.memory.EvictStalled, WriteTimeout: answerTimeout}); err != nil {
+	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler, d.memory, drainer.Settings{MaxConnections: d.connections.Peers, EndStalled: d.memory.EvictStalled, WriteTimeout: answerTimeout}); err != nil {
 		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
 	if err := d.registerGauges(); err != nil {
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -19,12 +19,16 @@
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/recorder"
 	"github.com/rosemaryrill/rosemaryrill/repeater"
+	"github.com/rosemaryrill/rosemaryrill/reserver"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
 // maxSmallMessageBytes limits the messages of other daemons that carry no request.
 const maxSmallMessageBytes = 64 << 10
 
+// peersAccount is the account of the memory for the messages of other daemons that carry no request.
+const peersAccount = "peers"
+
 // sharedStore lets the daemons of a data centre read the store through each other.
 type sharedStore struct {
 	self   repeater.Daemon
@@ -79,14 +83,14 @@
 }
 
 // listen serves the copies and the origins of streams to the other daemons, and takes the requests that they pass on.
-func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins, delegated *delegator.Handler, connections drainer.Settings) error {
+func (s *sharedStore) listen(address netip.AddrPort, origins *recorder.Origins, delegated *delegator.Handler, memory *reserver.Memory, connections drainer.Settings) error {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	handleSmall := func(path string, handler http.Handler) {
-		mux.Handle(path, http.MaxBytesHandler(handler, maxSmallMessageBytes))
+		mux.Handle(path, memory.Handler(http.MaxBytesHandler(handler, maxSmallMessageBytes), peersAccount))
 	}
 	handleSmall(repeater.NewHandler(s.copies))
 	handleSmall(recorder.NewHandler(origins))
--- a/delegator/handler.go
+++ b/delegator/handler.go
@@ -58,7 +58,7 @@
 
 // HTTP returns the path and the handler that serve the requests.
 func (h *Handler) HTTP() (path string, served http.Handler) {
-	// Without compression, the length of a message tells how much memory it needs. Daemons send none that is compressed.
+	// Answers are not compressed, since the targets' answers are passed on as they come.
 	path, relay := hostingv1connect.NewRelayServiceHandler(h, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
 	return path, h.bounded(relay)
 }
@@ -120,7 +120,7 @@
 // Relay handles a request of another daemon.
 func (h *Handler) Relay(ctx context.Context, request *connect.Request[hostingv1.RelayRequest], stream *connect.ServerStream[hostingv1.RelayResponse]) error {
 	w := &responseWriter{stream: stream, header: make(http.Header)}
-	if refusal := complete(ctx, len(request.Msg.GetBody())); refusal != nil {
+	if refusal := complete(ctx, request.Msg); refusal != nil {
 		w.WriteRefusal(*refusal)
 		return w.err
 	}
--- a/delegator/intake.go
+++ b/delegator/intake.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	hostingv1 "github.com/rosemaryrill/rosemaryrill/proto/hosting/v1"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
@@ -49,6 +50,11 @@
 		share, err := h.settings.Memory.AcquireMessage(w, r, memoryAccount)
 		admission := &intake{share: share}
 		var full *reserver.FullError
+		var unsupported *reserver.FormError
+		if errors.As(err, &unsupported) {
+			http.Error(w, unsupported.Error(), http.StatusUnsupportedMediaType)
+			return
+		}
 		if errors.As(err, &full) {
 			message := r.Body
 			defer func() { reserver.DiscardRefused(w, message) }()
@@ -62,8 +68,8 @@
 	})
 }
 
-// complete tells that the message with a body of a number of bytes has arrived whole. It returns a refusal if there is no memory for it.
-func complete(ctx context.Context, bodyBytes int) (refusal *relayer.Refusal) {
+// complete tells that a message has arrived whole. It returns a refusal if there is no memory for it.
+func complete(ctx context.Context, message *hostingv1.RelayRequest) (refusal *relayer.Refusal) {
 	admission, ok := ctx.Value(shareKey{}).(*intake)
 	if !ok {
 		return nil
@@ -71,9 +77,21 @@
 	if admission.refusal != nil {
 		return admission.refusal
 	}
-	if !admission.share.Complete(bodyBytes) {
+	if !admission.share.Complete(len(message.GetBody()) + headerBytes(message.GetHeaders())) {
 		refusal := relayer.Busy()
 		return &refusal
 	}
 	return nil
 }
+
+// headerBytes returns what the headers of a request hold.
+func headerBytes(headers []*hostingv1.Header) (bytes int) {
+	for _, header := range headers {
+		const ownFields = 2 // The header itself and its name.
+		bytes += reserver.FieldBytes*(ownFields+len(header.GetValues())) + len(header.GetName())
+		for _, value := range header.GetValues() {
+			bytes += len(value)
+		}
+	}
+	return bytes
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -307,6 +307,9 @@
 		return
 	}
 	for _, section := range message.Sections {
+		if len(section.Data) > maxSectionBytes {
+			continue // No daemon sends as much, and its values may take many times as much memory.
+		}
 		for _, topic := range g.settings.Topics {
 			if topic.Name() == section.Topic {
 				topic.Import(message.From, section.Data)
--- a/gossiper/settings.go
+++ b/gossiper/settings.go
@@ -16,6 +16,8 @@
 	// recoveryEvery is the interval, in rounds, of exchanges with a dead member and a seed.
 	recoveryEvery       = 5
 	defaultSectionBytes = 800
+	// maxSectionBytes is the size of the largest section of another daemon that is taken in.
+	maxSectionBytes = 16 << 10
 	// pushFanOut is how many members of this daemon's data centre PushDigest sends the digest to.
 	pushFanOut = 2
 	// maxContactsPerDataCentre is the maximum number of members of another data centre in the
