operator: the values of a change count as memory before they are decoded

What was seen: 40 changes of 4 MiB whose list of accounts is '{},{},...' took rilld serve to 722 MB of 192 MB, targets in gzip to 5,343 MB.

Cause: a change is JSON within a message. Each element becomes a struct twice, on the wire's form and on the operators'.

Change: the values are counted before the change or the objects are decoded, and take 512 bytes an element, 256 an object and 96 a member. What finds no room is refused with resource_exhausted; nothing was applied. A whole configuration of 18,000 accounts and 12,000 targets with 10 members each takes about 52 MB that way, worked out, of 361 MB at the default settings.

--- a/operator/server.go
+++ b/operator/server.go
@@ -76,6 +76,9 @@
 
 // Apply commits a change.
 func (s *Server) Apply(ctx context.Context, request *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
+	if err := takeMemory(ctx, request.Msg.GetChange()); err != nil {
+		return nil, err
+	}
 	change, err := encoder.DecodeChange(request.Msg.GetChange())
 	if err != nil {
 		refusal := &operatorv1.Refusal{Code: refusalInvalid}
@@ -111,7 +114,10 @@
 
 // Diff returns the change that turns the objects in force into the given ones. Without prune, the
 // change removes no objects.
-func (s *Server) Diff(_ context.Context, request *connect.Request[operatorv1.DiffRequest]) (*connect.Response[operatorv1.DiffResponse], error) {
+func (s *Server) Diff(ctx context.Context, request *connect.Request[operatorv1.DiffRequest]) (*connect.Response[operatorv1.DiffResponse], error) {
+	if err := takeMemory(ctx, request.Msg.GetObjects()); err != nil {
+		return nil, err
+	}
 	desired, err := encoder.DecodeObjects(request.Msg.GetObjects())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
