drainer, reserver, server: requests over HTTP/2 take memory for their heads, and make room

What callers saw: with TLS, 60 connections of 250 requests each (heads of 16 KB, bodies that stop one byte short) took rilld serve to 872 MB of 192 MB, 100 connections without the long heads to 454 MB, answers of which no byte is read to 848 MB, a mix with other crowds to 440 MB.

Cause: a connection counts as 32 KB, whether it carries one request or 250. The head of a request, its goroutine and its buffers were in no bound, and an answer that isn't read keeps them for 30 s.

Change: each request over HTTP/2 takes memory (16 KiB, its head, 160 bytes a field) before it is served, up to a quarter of that for bodies, and keeps it until its answer is read. One without memory is refused as not run; if 64 refusals wait to be read already, it is reset. Then a stalled request loses its place, answers unread for 1 s are reset, and the connection is not read for 50 ms. A connection carries 100 requests (was 250), frames of 16 KiB (was 1 MiB, a buffer as soon as it is announced), ends if nothing can be written for 30 s, and isn't read on while 16 KiB of frames wait for answers. Answers name their length, which HTTP/2 derives only from those that are written as a whole.

New: drainer TestRequestsOverHTTP2TakeMemory, TestUnreadAnswersOverHTTP2MakeRoom.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -147,7 +147,7 @@
 		settings:  settings,
 		logWriter: observer.NewAsyncWriter(settings.LogOutput),
 		store:     platform.NewStore(settings.Platform[0]),
-		memory:    reserver.NewMemory(reserver.RequestBytes(settings.Hosted.MemoryBytes)), connections: reserver.NewConnections(settings.Hosted.MemoryBytes),
+		memory:    reserver.NewMemory(reserver.RequestBytes(settings.Hosted.MemoryBytes)), connections: reserver.NewConnections(settings.Hosted.MemoryBytes, false),
 		startTime: time.Now(),
 		catchUp:   catchUp{asked: make(map[netip.AddrPort]bool)},
 	}
--- a/cmd/rilld/serve.go
+++ b/cmd/rilld/serve.go
@@ -16,7 +16,7 @@
 )
 
 // memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the memory of the process.
-const memoryLimitRatio = 0.75
+const memoryLimitRatio = 0.65
 
 func configFlag() cli.Flag {
 	return &cli.StringFlag{Name: "config", Usage: "settings file, in JSON with comments", Required: true}
--- a/drainer/answer.go
+++ b/drainer/answer.go
@@ -34,6 +34,9 @@
 		next.ServeHTTP(a, r)
 		a.announce()
 		a.limitWrite() // The rest of the answer is sent when the handler has returned.
+		if a.tracked() {
+			_ = a.FlushError() // The request holds its memory until its caller has read the answer, or has left.
+		}
 	})
 }
 
@@ -108,8 +111,14 @@
 	}
 }
 
+// tracked reports whether the request holds memory beside its body, which it has to give back when memory is scarce.
+func (a *answer) tracked() bool { return a.multiplexed && a.drainer.settings.Streams != nil }
+
 // limitWrite sets the time by which the caller has to have read what is written next.
 func (a *answer) limitWrite() {
+	if a.tracked() {
+		a.drainer.unread.add(a)
+	}
 	if timeout := a.drainer.settings.WriteTimeout; timeout > 0 {
 		_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Now().Add(timeout)) // Writers of tests have none.
 	}
@@ -125,6 +134,9 @@
 
 // endWrite tells that nothing is being written, so that a pause within an answer has no limit.
 func (a *answer) endWrite() {
+	if a.tracked() {
+		a.drainer.unread.remove(a)
+	}
 	if a.multiplexed && a.drainer.settings.WriteTimeout > 0 {
 		_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Time{}) // Writers of tests have none.
 	}
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -56,6 +56,13 @@
 	// headBytes is what has arrived of the current head, and headTaken the memory that was taken for it.
 	headBytes int
 	headTaken int
+	// writing is the number of writes that are under way on a connection of HTTP/2, written is closed when they have ended, and unanswered is
+	// what has arrived since they began.
+	writing    int
+	written    chan struct{}
+	unanswered int
+	// pausedUntil is when the connection may be read again.
+	pausedUntil time.Time
 }
 
 func (d *Drainer) add(conn net.Conn) *connection {
@@ -69,6 +76,8 @@
 // Read implements net.Conn. If the connection is to end and nothing has arrived, it returns io.EOF, so that the server
 // closes it as if the caller had done so, or a timeout within the head of a request.
 func (c *connection) Read(p []byte) (n int, err error) {
+	c.awaitWritten()
+	c.awaitPause()
 	n, err = c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		n, err = c.lookAgain(p)
@@ -125,6 +134,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
+	c.unanswered += bytes
 	if c.state != stateServing && c.state != stateEnding {
 		c.state, c.since = stateReceiving, time.Now()
 		if c.multiplexed {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -61,6 +61,9 @@
 	EndStalled func() bool
 	// Heads is the memory for heads of requests that are long. Default: no bound.
 	Heads HeadMemory
+	// Streams is the memory for requests over HTTP/2, and RefuseStream refuses one for which there is none. Default: no bound.
+	Streams      StreamMemory
+	RefuseStream func(w http.ResponseWriter, r *http.Request)
 	// WriteTimeout is how long a caller may leave a piece of its answer unread. Default: no bound.
 	WriteTimeout time.Duration
 	// Logger receives a line for each drain, and one for each connection that was cut during a request. Default: none.
@@ -82,6 +85,10 @@
 	draining atomic.Bool
 	// lingering counts the calls of Linger that read.
 	lingering atomic.Int64
+	// unread are the answers over HTTP/2 that are being written.
+	unread unreadAnswers
+	// refusing counts the calls of refuseStream.
+	refusing atomic.Int64
 	// refused counts the connections that were closed since there were too many, and displaced those that made room.
 	refused, displaced atomic.Int64
 	// idleTimeout is the timeout of the last call of CloseIdle.
@@ -123,7 +130,7 @@
 	var base context.Context
 	base, d.cancel = context.WithCancelCause(context.Background())
 	server.BaseContext = func(net.Listener) context.Context { return base }
-	server.Handler = d.announce(server.Handler)
+	server.Handler = d.boundStreams(d.announce(server.Handler))
 	server.ConnState = d.trackState(server.ConnState)
 	server.ConnContext = addConnection(server.ConnContext)
 	return d
--- a/reserver/descriptors.go
+++ b/reserver/descriptors.go
@@ -11,8 +11,10 @@
 	peersRatio    = 1.0 / 8
 	internalRatio = 1.0 / 32
 	minInternal   = 8
-	// connectionBytes is what an open connection needs between requests, and connectionsRatio the part of the process memory for these.
+	// connectionBytes is what an open connection needs between requests, encryptedBytes the same for TLS and HTTP/2, and connectionsRatio the
+	// part of the process memory for these.
 	connectionBytes  = 32 << 10
+	encryptedBytes   = 80 << 10
 	connectionsRatio = 1.0 / 4
 	minCallers       = 64
 )
@@ -24,16 +26,21 @@
 	Internal int
 }
 
-// NewConnections returns the bounds for a process with a number of bytes of memory and the descriptor limit of this one.
-func NewConnections(memoryBytes float64) Connections {
+// NewConnections returns the bounds for a process with a number of bytes of memory and the descriptor limit of this one, whose callers'
+// connections are encrypted or not.
+func NewConnections(memoryBytes float64, encrypted bool) Connections {
 	descriptors := float64(assumedDescriptors)
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur > 0 {
 		descriptors = min(float64(limit.Cur), 1<<20)
 	}
 	byMemory := max(connectionsRatio*memoryBytes/connectionBytes, minCallers)
+	callersByMemory := byMemory
+	if encrypted {
+		callersByMemory = max(connectionsRatio*memoryBytes/encryptedBytes, minCallers)
+	}
 	return Connections{
-		Callers:  int(min(callersRatio*descriptors, byMemory)),
+		Callers:  int(min(callersRatio*descriptors, callersByMemory)),
 		Peers:    int(min(peersRatio*descriptors, byMemory)),
 		Internal: max(int(min(internalRatio*descriptors, byMemory)), minInternal),
 	}
--- a/reserver/memory.go
+++ b/reserver/memory.go
@@ -16,6 +16,8 @@
 	accountRatio = 0.75
 	// headsRatio is the part of what small requests have for themselves that long heads may take.
 	headsRatio = 0.5
+	// streamsRatio is the part of the memory for bodies that requests over HTTP/2 may take for themselves, without their bodies.
+	streamsRatio = 1.0 / 4
 	// decodedRatio is the part of the memory that the values of a request may take although there is no room.
 	decodedRatio = 1.0 / 4
 	// SmallBytes is the size up to which a request counts as small.
@@ -43,6 +45,7 @@
 	smallBytes   int64
 	accountBytes int64
 	headsBytes   int64
+	streams      streams
 	now          func() time.Time
 
 	mu        sync.Mutex
@@ -71,6 +74,8 @@
 	Stalled int64
 	// Heads had long heads for which there was no room.
 	Heads int64
+	// Streams were requests over HTTP/2 for which there was no room beside their bodies.
+	Streams int64
 }
 
 // FullError is returned if there is no room for a request.
@@ -107,7 +112,8 @@
 	small := int64(smallRatio * float64(bodies))
 	return &Memory{
 		answers: NewBudget(answers), bodiesBytes: bodies, smallBytes: small, accountBytes: int64(accountRatio * float64(bodies-small)), headsBytes: int64(headsRatio * float64(small)),
-		now: time.Now, byAccount: make(map[string]accountBytes), arriving: make(map[*Share]struct{}), freed: make(chan struct{}),
+		streams: streams{limit: int64(streamsRatio * float64(bodies))},
+		now:     time.Now, byAccount: make(map[string]accountBytes), arriving: make(map[*Share]struct{}), freed: make(chan struct{}),
 	}
 }
 
@@ -187,7 +193,9 @@
 func (m *Memory) Counts() Counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.counts
+	counts := m.counts
+	counts.Streams = m.streams.refused.Load()
+	return counts
 }
 
 // fits reports whether there is room for a share that grows, and whether its account leaves room for others. A request that holds or gets no
--- a/reserver/report.go
+++ b/reserver/report.go
@@ -29,6 +29,7 @@
 		{"rill_request_memory_account", "Requests refused since their account held its part of the memory.", part(func(c Counts) int64 { return c.Account })},
 		{"rill_request_memory_stalled", "Requests ended since they had stopped arriving while there was no memory for others.", part(func(c Counts) int64 { return c.Stalled })},
 		{"rill_request_memory_heads", "Connections closed since there was no memory for a long head.", part(func(c Counts) int64 { return c.Heads })},
+		{"rill_request_memory_streams", "Requests over HTTP/2 refused since there was no memory for them.", part(func(c Counts) int64 { return c.Streams })},
 		{"rill_caller_connections", "Open connections of callers.", connection(func(open, _, _ int64) int64 { return open })},
 		{"rill_caller_connections_displaced", "Connections of callers without a request that made room for new ones.", connection(func(_, displaced, _ int64) int64 { return displaced })},
 		{"rill_caller_connections_refused", "New connections of callers that were closed since there were too many.", connection(func(_, _, refused int64) int64 { return refused })},
@@ -61,7 +62,7 @@
 			continue
 		}
 		logger.Info("requests or connections refused for lack of room", "in", reportInterval, "full", now.Full-last.Full,
-			"account", now.Account-last.Account, "stalled", now.Stalled-last.Stalled, "heads", now.Heads-last.Heads,
+			"account", now.Account-last.Account, "stalled", now.Stalled-last.Stalled, "heads", now.Heads-last.Heads, "streams", now.Streams-last.Streams,
 			"connections_displaced", displaced-last.displaced, "connections_refused", refused-last.refused,
 			"held_bytes", m.Held(), "limit_bytes", m.Limit(), "connections", open)
 		last = now
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -153,7 +153,7 @@
 	defer Error.WrapP(&err)
 	d := &Daemon{settings: settings, stop: make(chan struct{})}
 	memoryBytes := float64(settings.Limits.MemoryBytes)
-	d.memory, d.connections = reserver.NewMemory(reserver.RequestBytes(memoryBytes)), reserver.NewConnections(memoryBytes)
+	d.memory, d.connections = reserver.NewMemory(reserver.RequestBytes(memoryBytes)), reserver.NewConnections(memoryBytes, settings.TLS.CallersCertificateFile != "")
 	d.warmUpTracker = newWarmUpTracker()
 	d.observationExporter = &observationExporter{daemon: d}
 	d.assignment = newAssignmentCache(func(target string) bool {
--- a/server/answer.go
+++ b/server/answer.go
@@ -1,13 +1,13 @@
 package server
 
 import (
-	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/rosemaryrill/rosemaryrill/encoder"
 	"github.com/rosemaryrill/rosemaryrill/observer"
 	"github.com/rosemaryrill/rosemaryrill/refuser"
 )
@@ -75,10 +75,13 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, _ := encoder.JSON(value) // An answer can always be encoded.
+	data = append(data, '\n')
 	w.Header().Set("Content-Type", contentTypeJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	// Writing fails if the caller has disconnected, so there is nobody to report the error to.
-	_ = json.NewEncoder(w).Encode(value)
+	_, _ = w.Write(data)
 }
 
 type wireHealth struct {
--- a/server/server.go
+++ b/server/server.go
@@ -61,8 +61,6 @@
 	defaultDeadline       = 2 * time.Minute
 	// answerTimeout is how long a caller may leave a piece of its answer unread.
 	answerTimeout = 30 * time.Second
-	// http2BufferBytes bounds what a connection of HTTP/2 may send before it is read. Its streams share it.
-	http2BufferBytes = 256 << 10
 	// maxDeadline bounds the deadline that a request may set in its header.
 	maxDeadline = time.Hour
 )
@@ -190,7 +188,7 @@
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    s.settings.MaxHeaderBytes,
 		TLSConfig:         s.settings.TLS,
-		HTTP2:             &http.HTTP2Config{MaxReceiveBufferPerConnection: http2BufferBytes, MaxReceiveBufferPerStream: http2BufferBytes},
+		HTTP2:             newHTTP2Config(),
 		ErrorLog:          slog.NewLogLogger(s.settings.Log.Handler(), slog.LevelDebug),
 	}
 	drain := drainer.Settings{
@@ -198,6 +196,7 @@
 	}
 	if s.settings.Memory != nil {
 		drain.Heads, drain.EndStalled = s.settings.Memory, s.settings.Memory.EvictStalled
+		drain.Streams, drain.RefuseStream = s.settings.Memory, s.refuseStream
 	}
 	s.drainer = drainer.New(s.http, drain)
 	return s, nil
--- a/server/service.go
+++ b/server/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -68,6 +69,9 @@
 	if answer.Repeated {
 		w.Header().Set(headerRepeated, "true")
 	}
+	if len(answer.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(answer.Status)
 	// Writing fails if the caller has disconnected, so there is nobody to report the error to.
 	_, _ = w.Write(answer.Body)
