--- a/cmd/rilld/hostile_serve_test.go
+++ b/cmd/rilld/hostile_serve_test.go
@@ -52,15 +52,21 @@
 		encryption = fmt.Sprintf(`"tls": {"callers_certificate_file": %q, "callers_key_file": %q},`, certificate, key)
 		h.client.Transport.(*http.Transport).TLSClientConfig = &tls.Config{InsecureSkipVerify: true}
 	}
-	h.startLimited("serve", "--log=false", "--config", h.write("hostile-serve.jsonc", fmt.Sprintf(`{
+	file := h.write("hostile-serve.jsonc", fmt.Sprintf(`{
   "name": "daemon", "data_centre": "sapporo", "callers_listen": %q, "peers_listen": %q, "operators_listen": %q, "peers_advertise": %q,
   "platform": [%q], "limits": {%s "max_body_bytes": %d}, %s
-}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], h.ports["peers"], f.platform, memory, host.bodyBytes, encryption)))
+  "leave_notice": "500ms", "drain_bound": "3s",
+}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], h.ports["peers"], f.platform, memory, host.bodyBytes, encryption))
 	callers := scheme + h.ports["callers"]
 	h.metrics = callers + "/metrics"
-	h.awaitBy(h.client, callers+"/healthz")
+	start := func(path string) {
+		h.startLimited("serve", "--log=false", "--config", file)
+		h.awaitBy(h.client, callers+path)
+	}
+	start("/healthz")
 	f.apply(f.configuration(""))
 	h.awaitBy(h.client, callers+"/readyz")
+	h.startDaemon = func() { start("/readyz") }
 	h.newRequest = func(bodyBytes int) *http.Request {
 		body := []byte(`{"item":"wheel"}`)
 		body = append(body, bytes.Repeat([]byte(" "), max(bodyBytes-len(body), 0))...)
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -55,6 +55,8 @@
 	client *http.Client
 	// metrics is the URL of the daemon's metrics.
 	metrics string
+	// startDaemon starts the daemon and waits until it is ready.
+	startDaemon func()
 }
 
 // hostileClient is one client: it does what it does with its connection, which the crowd closes at the end.
@@ -136,49 +138,87 @@
 		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bodyBytes))), int64(bodyBytes)
 		return request
 	}
-	h.startLimited("front", "--config", h.write("hostile-front.jsonc", fmt.Sprintf(`{
+	file := h.write("hostile-front.jsonc", fmt.Sprintf(`{
   "name": "front", "data_centre": "north", "callers_listen": %q, "peers_listen": %q, "operators_listen": %q, "platform": [%q],
   "log": {"level": "warn", "format": "json"},
   "hosted": {"ready_listen": %q, "metrics_listen": %q, "memory_bytes": %d},
-}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], store.Address(), h.ports["ready"], h.ports["metrics"], int64(hostileMemory))))
-	h.await("http://" + h.ports["ready"] + "/readyz")
+}`, h.ports["callers"], h.ports["peers"], h.ports["operators"], store.Address(), h.ports["ready"], h.ports["metrics"], int64(hostileMemory)))
+	h.startDaemon = func() {
+		h.startLimited("front", "--config", file)
+		h.await("http://" + h.ports["ready"] + "/readyz")
+	}
+	h.startDaemon()
 	return h
 }
 
 var ordinaryCount atomic.Int64
 
-// check plays a crowd and checks the process during it, and an ordinary caller while the crowd still holds its connections.
-func (h *hostile) check(c hostileCase) {
-	pid := h.running["daemon"].command.Process.Pid
-	watch := watchProcess(pid, h.ports[c.port])
-	var playing, holding conc.WaitGroup
-	release := make(chan struct{})
+// crowd is a crowd that is at work or holds its connections.
+type crowd struct {
+	playing, holding conc.WaitGroup
+	left             chan struct{}
+}
+
+// startCrowd starts the clients of a crowd.
+func (h *hostile) startCrowd(c hostileCase) *crowd {
+	w := &crowd{left: make(chan struct{})}
 	for range c.clients {
 		played := make(chan struct{})
-		holding.Go(func() {
+		w.holding.Go(func() {
 			finish := sync.OnceFunc(func() { close(played) })
 			defer finish()
-			conn, err := net.Dial("tcp", h.ports[c.port])
-			if err != nil {
+			conn := dialWhenOpen(h.ports[c.port])
+			if conn == nil {
 				return
 			}
 			defer func() { _ = conn.Close() }()
 			_ = conn.SetDeadline(time.Now().Add(hostileTime)) // Fails only on a closed connection.
 			c.play(conn, h)
 			finish()
-			<-release
+			<-w.left
 		})
-		playing.Go(func() { <-played })
+		w.playing.Go(func() { <-played })
+	}
+	return w
+}
+
+// dialWhenOpen connects to a port, which a daemon that starts may open only later. It returns nil if that takes too long.
+func dialWhenOpen(address string) net.Conn {
+	for end := time.Now().Add(hostileTime); time.Now().Before(end); time.Sleep(piecePause) {
+		if conn, err := net.Dial("tcp", address); err == nil {
+			return conn
+		}
 	}
-	playing.Wait()
+	return nil
+}
+
+// leave ends the connections of the crowd.
+func (w *crowd) leave() {
+	close(w.left)
+	w.holding.Wait()
+}
+
+// check plays a crowd and checks the process during it, and an ordinary caller while the crowd still holds its connections.
+func (h *hostile) check(c hostileCase) {
+	watch := watchProcess(h.running["daemon"].command.Process.Pid, h.ports[c.port])
+	crowd := h.startCrowd(c)
+	crowd.playing.Wait()
 	time.Sleep(settleTime)
 	h.expectAnswer(0)
 	h.expectAnswer(h.largestBody)
-	close(release)
-	holding.Wait()
+	crowd.leave()
 	h.expectRest()
-	peak := watch.end()
-	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, unread with it at most %.0f MB), most descriptors %d", c.name,
+	h.checkPeak(c.name, watch.end())
+	select {
+	case <-h.running["daemon"].done:
+		h.t.Errorf("the process ended: %s", h.running["daemon"].state)
+	default:
+	}
+}
+
+// checkPeak checks what a process has used.
+func (h *hostile) checkPeak(name string, peak peak) {
+	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, unread with it at most %.0f MB), most descriptors %d", name,
 		peak.bytes()/1e6, peak.resident/1e6, peak.withUnread/1e6, peak.descriptors)
 	if peak.bytes() > h.memoryBytes {
 		h.t.Errorf("%.0f MB in use, the host has %.0f MB", peak.bytes()/1e6, h.memoryBytes/1e6)
@@ -186,11 +226,6 @@
 	if peak.descriptors > hostileDescriptors-spareDescriptors {
 		h.t.Errorf("%d descriptors in use, the host has %d", peak.descriptors, hostileDescriptors)
 	}
-	select {
-	case <-h.running["daemon"].done:
-		h.t.Errorf("the process ended: %s", h.running["daemon"].state)
-	default:
-	}
 }
 
 // expectAnswer sends an ordinary request until it is answered. Refusals are allowed, as to callers that come back.
