drainer: the kernel holds little of answers that callers don't read

Cause: the kernel takes up to 4 MB of an answer for each connection, which no bound counts, and which the tests didn't count either.

Change: on connections to the daemons' ports TCP_NOTSENT_LOWAT is 64 KiB, the size of the pieces whose reading has a time limit. What is on its way to the caller isn't limited by that, so long links keep their pace. The tests count both queues of the kernel now, so each of their checks is stricter.

--- a/cmd/rilld/hostile_clients_test.go
+++ b/cmd/rilld/hostile_clients_test.go
@@ -45,6 +45,7 @@
 	{"idle connections", "callers", 2 * hostileDescriptors, idle},
 	{"pipelined requests", "callers", 60, pipeline},
 	{"large answers not read", "callers", 60, sendBody(lookAt, hostileBody, 0, 0)},
+	{"many large answers not read", "callers", 240, sendBody(lookAt, hostileBody, 0, 0)},
 	{"streams not read", "callers", 60, sendBody(ask, 1<<20, 0, 0)},
 	{"small bodies one byte short", "callers", 2 * hostileDescriptors, sendBody(order, 1<<10, 1, 0)},
 	// Row 5: other listeners.
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -218,8 +218,8 @@
 
 // checkPeak checks what a process has used.
 func (h *hostile) checkPeak(name string, peak peak) {
-	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, unread with it at most %.0f MB), most descriptors %d", name,
-		peak.bytes()/1e6, peak.resident/1e6, peak.withUnread/1e6, peak.descriptors)
+	h.t.Logf("%s: most memory %.0f MB (%.0f MB resident, with the queues of the kernel at most %.0f MB), most descriptors %d", name,
+		peak.bytes()/1e6, peak.resident/1e6, peak.withQueues/1e6, peak.descriptors)
 	if peak.bytes() > h.memoryBytes {
 		h.t.Errorf("%.0f MB in use, the host has %.0f MB", peak.bytes()/1e6, h.memoryBytes/1e6)
 	}
@@ -280,12 +280,12 @@
 
 // peak is the most that a process has used.
 type peak struct {
-	// resident is the highest resident memory, and withUnread the highest sum of that and what it had not yet read of its connections.
-	resident, withUnread float64
+	// resident is the highest resident memory, and withQueues the highest sum of that and what the kernel held for its connections.
+	resident, withQueues float64
 	descriptors          int
 }
 
-func (p peak) bytes() float64 { return math.Max(p.resident, p.withUnread) }
+func (p peak) bytes() float64 { return math.Max(p.resident, p.withQueues) }
 
 type processWatch struct {
 	stop chan struct{}
@@ -304,7 +304,7 @@
 		var most peak
 		for {
 			most.resident = math.Max(most.resident, statusBytes(pid, "VmHWM:"))
-			most.withUnread = math.Max(most.withUnread, statusBytes(pid, "VmRSS:")+unreadBytes(address))
+			most.withQueues = math.Max(most.withQueues, statusBytes(pid, "VmRSS:")+queuedBytes(address))
 			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // None of a process that has ended.
 			most.descriptors = max(most.descriptors, len(open))
 			select {
@@ -333,8 +333,9 @@
 	return 0
 }
 
-// unreadBytes returns what has arrived at a listening address and was not read yet.
-func unreadBytes(address string) (sum float64) {
+// queuedBytes returns what the kernel holds for a listening address: what has arrived and was not read yet, and what was written and not
+// taken by the other side.
+func queuedBytes(address string) (sum float64) {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -342,13 +343,14 @@
 	suffix := fmt.Sprintf(":%04X", netip.MustParseAddrPort(address).Port())
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		if len(fields) < 5 || !strings.HasSuffix(fields[1], suffix) {
+		const listening = "0A"
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], suffix) || fields[3] == listening {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[4], ":")
-		const listening = "0A"
-		if unread, err := strconv.ParseUint(received, 16, 64); err == nil && fields[3] != listening {
-			sum += float64(unread)
+		for queue := range strings.SplitSeq(fields[4], ":") {
+			if queued, err := strconv.ParseUint(queue, 16, 64); err == nil {
+				sum += float64(queued)
+			}
 		}
 	}
 	return sum
--- a/drainer/bounds_test.go
+++ b/drainer/bounds_test.go
@@ -87,6 +87,36 @@
 	}
 }
 
+// Guards against answers that the kernel holds for callers which don't read, where no bound of the daemon counts them.
+func TestUnreadAnswersStayOutOfKernel(t *testing.T) {
+	const answerBytes, most = 64 << 20, 512 << 10
+	var written atomic.Int64
+	s := startServer(t, drainer.Settings{WriteTimeout: time.Minute}, listen(t), func(w http.ResponseWriter, _ *http.Request) {
+		piece := make([]byte, 8<<10)
+		for written.Load() < answerBytes {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+			written.Add(int64(len(piece)))
+		}
+	})
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.(*net.TCPConn).SetReadBuffer(32 << 10) // Else more is written, which fails the test.
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	before := int64(-1)
+	for written.Load() != before {
+		before = written.Load()
+		time.Sleep(300 * time.Millisecond)
+	}
+	if before == 0 || before > most {
+		t.Errorf("%d bytes were written to a caller that reads nothing, want at most %d", before, most)
+	}
+}
+
 // Guards against callers that read nothing of a large answer and keep its handler for ever.
 func TestAnswersNotReadEnd(t *testing.T) {
 	ended := make(chan error, 1)
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -66,6 +66,7 @@
 }
 
 func (d *Drainer) add(conn net.Conn) *connection {
+	limitUnsent(conn)
 	c := &connection{Conn: conn, drainer: d, since: time.Now()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
