delegator: a request that finds no memory while its message is read has not run

What callers saw: a request that was passed on to another daemon, and whose message lost its memory while it was read (or has too many fields for it), was answered as one that may have run. It had not: nothing of it was decoded.

Cause: connect-go answers such a call itself, before the handler that could say so is called.

--- a/delegator/intake_test.go
+++ b/delegator/intake_test.go
@@ -1,7 +1,9 @@
 package delegator_test
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -78,3 +80,26 @@
 	}
 	t.Errorf("%d bytes are still held", memory.Held())
 }
+
+// Guards against requests that count as run since their daemon ran out of memory while it read their message.
+func TestRequestsThatOutgrowMemoryWhileTheyAreReadAreNotRun(t *testing.T) {
+	const memoryBytes, headers = 1 << 20, 20_000
+	memory := reserver.NewMemory(memoryBytes)
+	served := 0
+	handler := delegator.NewHandler(delegator.HandlerSettings{MaxOpen: 2, Now: time.Now, Memory: memory, Serve: func(context.Context, http.ResponseWriter, delegator.Request) { served++ }})
+	mux := http.NewServeMux()
+	mux.Handle(handler.HTTP())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	d := newDelegator(t, delegator.Daemon{Name: "full", DataCentre: "north", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	call := newCall()
+	for i := range headers {
+		call.Header.Set(fmt.Sprint("X-", i), "v")
+	}
+	_, err := d.Send(t.Context(), service, call)
+	var unsent *connector.UnsentError
+	var local *delegator.LocalRefusalError
+	if !errors.As(err, &unsent) || !errors.As(err, &local) || local.Reason != "no_memory" || served > 0 {
+		t.Errorf("%v, served %d times", err, served)
+	}
+}
