reserver, runner, assembler: a port makes room among its own requests only

Connections of the peers' and the operators' ports that come near their bound ended the stalled upload of a caller, which frees no connection there. Now only stalled requests of the port's own account lose their place (EvictStalledOf). Found by reading; no test was red.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -27,6 +27,7 @@
 	"github.com/rosemaryrill/rosemaryrill/allocator"
 	"github.com/rosemaryrill/rosemaryrill/broadcaster"
 	"github.com/rosemaryrill/rosemaryrill/connector"
+	"github.com/rosemaryrill/rosemaryrill/delegator"
 	"github.com/rosemaryrill/rosemaryrill/drainer"
 	"github.com/rosemaryrill/rosemaryrill/follower"
 	"github.com/rosemaryrill/rosemaryrill/limiter"
@@ -178,7 +179,11 @@
 	d.delegation = d.newDelegation()
 	d.createFollowers()
 	d.edge = d.newEdge()
-	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler, d.memory, drainer.Settings{MaxConnections: d.connections.Peers, EndStalled: d.memory.EvictStalled, WriteTimeout: answerTimeout}); err != nil {
+	peers := drainer.Settings{
+		MaxConnections: d.connections.Peers, WriteTimeout: answerTimeout,
+		EndStalled: func() bool { return d.memory.EvictStalledOf(delegator.MemoryAccount) }, // Others hold no connection of this port.
+	}
+	if err := d.sharing.listen(settings.PeersListen, d.origins.Origins, d.delegation.handler, d.memory, peers); err != nil {
 		return nil, errs.Combine(err, d.edge.close(), d.close())
 	}
 	if err := d.registerGauges(); err != nil {
--- a/assembler/sharing.go
+++ b/assembler/sharing.go
@@ -26,9 +26,6 @@
 // maxSmallMessageBytes limits the messages of other daemons that carry no request.
 const maxSmallMessageBytes = 64 << 10
 
-// peersAccount is the account of the memory for the messages of other daemons that carry no request.
-const peersAccount = "peers"
-
 // sharedStore lets the daemons of a data centre read the store through each other.
 type sharedStore struct {
 	self   repeater.Daemon
@@ -90,7 +87,7 @@
 	}
 	mux := http.NewServeMux()
 	handleSmall := func(path string, handler http.Handler) {
-		mux.Handle(path, memory.Handler(http.MaxBytesHandler(handler, maxSmallMessageBytes), peersAccount))
+		mux.Handle(path, memory.Handler(http.MaxBytesHandler(handler, maxSmallMessageBytes), delegator.MemoryAccount))
 	}
 	handleSmall(repeater.NewHandler(s.copies))
 	handleSmall(recorder.NewHandler(origins))
--- a/reserver/memory.go
+++ b/reserver/memory.go
@@ -250,6 +250,16 @@
 	return m.evictWorst(func(*Share) bool { return true })
 }
 
+// EvictStalledOf is like EvictStalled among the requests of one account.
+func (m *Memory) EvictStalledOf(account string) bool {
+	if m == nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evictWorst(func(s *Share) bool { return s.account == account })
+}
+
 // makeRoom takes the places of stalled requests until bytes are on their way back, and reports whether any are. The caller holds mu.
 func (m *Memory) makeRoom(bytes int64, may func(*Share) bool) bool {
 	for m.evicted < bytes {
--- a/runner/port.go
+++ b/runner/port.go
@@ -30,7 +30,11 @@
 		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	return internalPort{server: server, drainer: drainer.New(server, drainer.Settings{AbortCause: errStopping, Logger: log, MaxConnections: maxConnections, EndStalled: d.memory.EvictStalled})}
+	settings := drainer.Settings{
+		AbortCause: errStopping, Logger: log, MaxConnections: maxConnections,
+		EndStalled: func() bool { return d.memory.EvictStalledOf(account) }, // Others hold no connection of this port.
+	}
+	return internalPort{server: server, drainer: drainer.New(server, settings)}
 }
 
 func (p internalPort) serve(listener net.Listener, encryption portTLS) error {
