--- a/cmd/rilld/hostile_http2_test.go
+++ b/cmd/rilld/hostile_http2_test.go
@@ -45,12 +45,7 @@
 
 // Guards against clients of HTTP/2, whose connections hold many requests each, as in TestHostileClientsOfServe.
 func TestHostileClientsOverHTTP2(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range http2Cases {
-		t.Run(c.name, func(t *testing.T) {
-			startServe(t, p.folder, serveHost{memoryBytes: serveMemory, bodyBytes: serveBody, encrypted: true}).check(c)
-		})
-	}
+	checkCases(t, http2Cases, startEncryptedServe)
 }
 
 // http2Client is a connection of HTTP/2, after its preface.
--- a/cmd/rilld/hostile_parsed_test.go
+++ b/cmd/rilld/hostile_parsed_test.go
@@ -86,33 +86,25 @@
 
 // Guards against clients whose requests are of legal size and need a multiple of it once they are parsed.
 func TestParsedRequestsOfServeStayWithinMemory(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range serveParsedCases {
-		t.Run(c.name, func(t *testing.T) { startHostileServe(t, p.folder).check(c) })
-	}
+	checkCases(t, serveParsedCases, startHostileServe)
 }
 
 // Guards against the same for rilld front.
 func TestParsedRequestsOfFrontStayWithinMemory(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range frontParsedCases {
-		t.Run(c.name, func(t *testing.T) { startHostileFront(t, p.folder).check(c) })
-	}
+	checkCases(t, frontParsedCases, startHostileFront)
 }
 
 // Guards against the same with the default settings.
 func TestParsedRequestsStayWithinDefaultMemory(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range []hostileCase{
+	cases := []hostileCase{
 		{"empty messages", "callers", 8, sendContent(chat, emptyMessages, defaultBody)},
 		{"one text that grows when escaped", "callers", 1, sendContent(chat, bracketText, defaultBody)},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			h := startServe(t, p.folder, serveHost{memoryBytes: defaultMemory, bodyBytes: defaultBody})
-			h.largestBody = serveBody // The service of the test takes no more.
-			h.check(c)
-		})
 	}
+	checkCases(t, cases, func(t *testing.T, folder string) *hostile {
+		h := startServe(t, folder, serveHost{memoryBytes: defaultMemory, bodyBytes: defaultBody})
+		h.largestBody = serveBody // The service of the test takes no more.
+		return h
+	})
 }
 
 // The heads of messages of other daemons and of operators.
--- a/cmd/rilld/hostile_serve_test.go
+++ b/cmd/rilld/hostile_serve_test.go
@@ -31,6 +31,11 @@
 	return startServe(t, folder, serveHost{memoryBytes: serveMemory, bodyBytes: serveBody})
 }
 
+// startEncryptedServe starts the same with TLS.
+func startEncryptedServe(t *testing.T, folder string) *hostile {
+	return startServe(t, folder, serveHost{memoryBytes: serveMemory, bodyBytes: serveBody, encrypted: true})
+}
+
 func startServe(t *testing.T, folder string, host serveHost) *hostile {
 	h := newHostile(t, folder)
 	h.largestBody, h.memoryBytes = host.bodyBytes, host.memoryBytes
--- a/cmd/rilld/hostile_soak_test.go
+++ b/cmd/rilld/hostile_soak_test.go
@@ -53,8 +53,7 @@
 	case 1:
 		s.hostile, s.cases = startHostileServe(t, folder), append(serveParsedCases, serveHostileCases...)
 	default:
-		s.hostile = startServe(t, folder, serveHost{memoryBytes: serveMemory, bodyBytes: serveBody, encrypted: true})
-		s.cases = http2Cases
+		s.hostile, s.cases = startEncryptedServe(t, folder), http2Cases
 	}
 	return s
 }
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -73,17 +73,19 @@
 // Guards against clients which nobody controls and whose bodies, heads, connections or unread answers end a process of rilld front, fill its memory or
 // use up its descriptors, so that no ordinary request is served any more.
 func TestHostileClientsOfFront(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range frontHostileCases {
-		t.Run(c.name, func(t *testing.T) { startHostileFront(t, p.folder).check(c) })
-	}
+	checkCases(t, frontHostileCases, startHostileFront)
 }
 
 // Guards against the same for rilld serve.
 func TestHostileClientsOfServe(t *testing.T) {
-	p := newProcesses(t)
-	for _, c := range serveHostileCases {
-		t.Run(c.name, func(t *testing.T) { startHostileServe(t, p.folder).check(c) })
+	checkCases(t, serveHostileCases, startHostileServe)
+}
+
+// checkCases plays each crowd against a daemon of its own.
+func checkCases(t *testing.T, cases []hostileCase, start func(t *testing.T, folder string) *hostile) {
+	folder := newProcesses(t).folder
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { start(t, folder).check(c) })
 	}
 }
 
--- a/estimator/message.go
+++ b/estimator/message.go
@@ -21,9 +21,10 @@
 	offset int64
 	// skip is how many of the next bytes are the content of a field that isn't looked at.
 	skip int64
-	// number and state tell what the bytes in partial belong to: a part of a number that goes on in the next bytes.
-	state   fieldState
-	field   protowire.Number
+	// state is what comes next, and field the number of the field whose content that is.
+	state fieldState
+	field protowire.Number
+	// partial is the beginning of a number that goes on in the next bytes.
 	partial []byte
 }
 
@@ -43,10 +44,11 @@
 	stateLength
 )
 
-// Sizes of fields of fixed size in bytes.
+// Sizes of fields of fixed size, and that of the largest number of variable size, in bytes.
 const (
-	fixed32Bytes = 4
-	fixed64Bytes = 8
+	fixed32Bytes   = 4
+	fixed64Bytes   = 8
+	maxNumberBytes = 10
 )
 
 // NewFields returns a counter for one message.
@@ -64,28 +66,36 @@
 			data = data[skipped:]
 			continue
 		}
-		f.leave()
-		f.partial = append(f.partial, data[0])
-		f.offset++
-		data = data[1:]
-		if last := f.partial[len(f.partial)-1]; last >= 0x80 {
-			if len(f.partial) >= protowire.SizeVarint(1<<64-1) {
-				return added, &MalformedError{}
-			}
-			continue
-		}
-		value, _ := protowire.ConsumeVarint(f.partial)
-		f.partial = f.partial[:0]
-		if f.state == stateTag {
+		begins, err := f.addByte(data[0])
+		if begins {
 			added++
 		}
-		if err := f.take(value); err != nil {
+		if err != nil {
 			return added, err
 		}
+		data = data[1:]
 	}
 	return added, nil
 }
 
+// addByte goes on after a byte of a number, and reports whether it ends the tag of a field.
+func (f *Fields) addByte(b byte) (begins bool, err error) {
+	f.leave()
+	f.partial = append(f.partial, b)
+	f.offset++
+	const continued = 0x80
+	if b >= continued {
+		if len(f.partial) >= maxNumberBytes {
+			return false, &MalformedError{}
+		}
+		return false, nil
+	}
+	value, _ := protowire.ConsumeVarint(f.partial)
+	f.partial = f.partial[:0]
+	begins = f.state == stateTag
+	return begins, f.take(value)
+}
+
 // leave ends the messages whose bytes have all arrived.
 func (f *Fields) leave() {
 	for len(f.scopes) > 1 && f.offset >= f.scopes[len(f.scopes)-1].end {
