--- a/cmd/rilld/hostile_parsed_test.go
+++ b/cmd/rilld/hostile_parsed_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/rosemaryrill/rosemaryrill/hostingemulator"
 )
 
 const (
@@ -73,7 +75,7 @@
 	{"empty headers of passed on requests", "peers", 40, sendStream(relay, repeatedField(4, nil))},
 	{"tiny headers of passed on requests", "peers", 40, sendStream(relay, repeatedField(4, repeatedField(2, nil)(64)))},
 	{"tiny fields in heads", "callers", 60, sendFields("a: b\r\n", 0)},
-	{"tiny parts of prompts in heads", "callers", 60, sendFields("X-Prompt-Prefix: a:1,b:1,c:1,d:1,e:1,f:1\r\n", 0)},
+	{"tiny parts of prompts in heads", "callers", 60, sendFields(hostingemulator.PromptHeader+": a:1,b:1,c:1,d:1,e:1,f:1\r\n", 0)},
 	{"tiny fields in heads, bodies one byte short", "callers", 60, sendFields("a: b\r\n", 1)},
 	{"beginnings of HTTP/2", "callers", 200, func(conn net.Conn, _ *hostile) {
 		_ = sendPieces(conn, []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"+strings.Repeat("\x00\x00\x08\x06\x00\x00\x00\x00\x00pingping", 8<<10)), 0) // The daemon may end the connection.
--- a/hostingemulator/configuration.go
+++ b/hostingemulator/configuration.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// PromptHeader is the header that lists the parts of a request's prompt.
+const PromptHeader = "X-Prompt-Prefix"
+
 // Route is a route of a Configuration. Its requests have the prefix "/NAME/".
 type Route struct {
 	Name string
@@ -71,7 +74,7 @@
 	if route.Kind == "streaming" {
 		request.Header.Set("X-Model", c.Model)
 		request.Header.Set("X-Token-Count", "300,6")
-		request.Header.Set("X-Prompt-Prefix", "ab:200,cd:100")
+		request.Header.Set(PromptHeader, "ab:200,cd:100")
 	}
 	return request, nil
 }
--- a/hostingemulator/target.go
+++ b/hostingemulator/target.go
@@ -430,7 +430,7 @@
 
 func (t *Target) writeStream(w http.ResponseWriter, r *http.Request, faults TargetFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	if hasSharedPart(r.Header.Get("X-Prompt-Prefix"), faults.CrashOnPart) {
+	if hasSharedPart(r.Header.Get(PromptHeader), faults.CrashOnPart) {
 		_ = http.NewResponseController(w).Flush() // The head of the answer is all that is sent.
 		t.Crash()
 		panic(http.ErrAbortHandler)
