operator: a change that finds no memory is told as not in force

What operators saw: 'rillctl apply' of a change for whose values there is no memory said that the change may come into force. It can't: it is refused before it is decoded.

Cause: an error without the detail that says so counts as an outcome that isn't known.

Change: the errors bear it.

TestChangesWithManyValuesAreRefusedBeforeTheyAreDecoded checks it by the operators' client; it was red before.

--- a/operator/memory.go
+++ b/operator/memory.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/rosemaryrill/rosemaryrill/estimator"
+	operatorv1 "github.com/rosemaryrill/rosemaryrill/proto/operator/v1"
 	"github.com/rosemaryrill/rosemaryrill/reserver"
 )
 
@@ -21,11 +22,11 @@
 func takeMemory(ctx context.Context, encoded []byte) error {
 	values, err := estimator.JSON(encoded)
 	if err != nil {
-		return connect.NewError(connect.CodeInvalidArgument, err)
+		return withDetail(connect.NewError(connect.CodeInvalidArgument, err), &operatorv1.Refusal{Code: refusalInvalid})
 	}
 	bytes := elementBytes*values.Elements + objectBytes*values.Objects + memberBytes*values.Members
 	if err := reserver.MessageShare(ctx).GrowDecoded(ctx, bytes); err != nil {
-		return connect.NewError(connect.CodeResourceExhausted, err)
+		return withDetail(connect.NewError(connect.CodeResourceExhausted, err), &operatorv1.Refusal{Code: refusalNotApplied})
 	}
 	return nil
 }
