server: the rest of a body that isn't read holds its connection for 2 s only

What callers saw: while 1,024 clients without a valid key, or for a path that doesn't exist, have sent a body of 1 KiB but for its last byte, no ordinary request to rilld serve is answered, as long as they stay. Also while a daemon starts (no configuration in force yet): it didn't become ready for its load balancer.

Cause: such a request is refused before its body is read. Then package net/http waits for the rest of the body (up to 256 KiB), without a timeout and before it writes the refusal. The request holds no memory, so it can't lose its place as a stalled one, and its connection counts as serving, so it makes no room.

Change: the read deadline is 2 s once a handler has returned without the end of the body. Whoever sends the rest in time keeps the connection.

rilld front reads small bodies before it refuses them, but for heads beyond the configured limit and while it stops; not changed here.

--- a/cmd/rilld/hostile_clients_test.go
+++ b/cmd/rilld/hostile_clients_test.go
@@ -67,6 +67,8 @@
 	{"long heads", "callers", 200, sendHead("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", 0)},
 	{"idle connections", "callers", 2 * hostileDescriptors, idle},
 	{"small bodies one byte short", "callers", 2 * hostileDescriptors, sendBody(chat, 1<<10, 1, 0)},
+	{"small bodies of strangers one byte short", "callers", 2 * hostileDescriptors, sendBody(strings.Replace(chat, "demo-key", "none", 1), 1<<10, 1, 0)},
+	{"small bodies for no path one byte short", "callers", 2 * hostileDescriptors, sendBody(strings.Replace(chat, "/v1/", "/", 1), 1<<10, 1, 0)},
 	{"messages of peers one byte short", "peers", 60, sendBody(peerMessage, 4<<20, 1, 0)},
 	{"messages of operators one byte short", "operators", 60, sendBody(operatorMessage, 4<<20, 1, 0)},
 	{"idle connections of peers", "peers", 2 * hostileDescriptors, idle},
--- a/server/server.go
+++ b/server/server.go
@@ -181,7 +181,7 @@
 	}
 	s = &Server{settings: settings.withDefaults(), propagator: otel.GetTextMapPropagator()}
 	s.http = &http.Server{
-		Handler:           markHandlerStarted(s.Handler()),
+		Handler:           markHandlerStarted(limitUnreadBodies(s.Handler())),
 		ConnContext:       contextWithConnection,
 		ConnState:         resetIdleConnection,
 		ReadHeaderTimeout: s.settings.HeaderTimeout,
