--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -76,6 +76,13 @@
 	checkCases(t, frontHostileCases, startHostileFront)
 }
 
+// Guards against clients of rilld front whose requests are refused by their heads, and whose bodies, which nobody reads, hold all connections.
+func TestHeadsBeyondLimitHoldNoConnections(t *testing.T) {
+	const beyondLimit = 20 << 10
+	head := lookAt + "X-Long: " + strings.Repeat("h", beyondLimit) + "\r\n"
+	checkCases(t, []hostileCase{{"small bodies one byte short", "callers", 2 * hostileDescriptors, sendBody(head, 1<<10, 1, 0)}}, startHostileFront)
+}
+
 // Guards against the same for rilld serve.
 func TestHostileClientsOfServe(t *testing.T) {
 	checkCases(t, serveHostileCases, startHostileServe)
