delegator: a request whose answer is aborted gives its memory back

A handler that ends with a panic, as aborted answers do, kept it for ever, so the memory for requests shrank with each.

Change: the release is deferred again. A second one does nothing.

Two tests that set up the same daemon share one function.

--- a/delegator/intake.go
+++ b/delegator/intake.go
@@ -59,11 +59,12 @@
 			refuseMessage(next, w, r, full.RetryAfter)
 			return
 		}
+		defer share.Release() // Also if the answer is aborted by a panic.
 		body := &intakeBody{ReadCloser: r.Body}
 		r.Body = body
 		serveIntake(next, &intakeWriter{ResponseWriter: w, body: body}, r, &intake{share: share})
-		share.Release()
 		if body.full {
+			share.Release() // Nothing is kept while the rest of the message is read.
 			clear(w.Header())
 			refuseMessage(next, w, r, body.retryAfter)
 		}
--- a/delegator/intake_test.go
+++ b/delegator/intake_test.go
@@ -47,15 +47,20 @@
 	}
 }
 
-// Guards against a daemon without memory whose refusal of a request reads as one that may have run (ONCE), or that reads the request first.
-func TestDaemonWithoutMemoryTakesNoRequests(t *testing.T) {
-	memory := reserver.NewMemory(1 << 20)
-	handler := delegator.NewHandler(delegator.HandlerSettings{MaxOpen: 2, Now: time.Now, Serve: echo, Memory: memory})
+// newBounded returns a Delegator whose requests go to a daemon with a bounded memory.
+func newBounded(t *testing.T, memory *reserver.Memory, serve func(context.Context, http.ResponseWriter, delegator.Request)) *delegator.Delegator {
+	handler := delegator.NewHandler(delegator.HandlerSettings{MaxOpen: 2, Now: time.Now, Serve: serve, Memory: memory})
 	mux := http.NewServeMux()
 	mux.Handle(handler.HTTP())
 	server := httptest.NewServer(mux)
-	defer server.Close()
-	d := newDelegator(t, delegator.Daemon{Name: "full", DataCentre: "north", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	t.Cleanup(server.Close)
+	return newDelegator(t, delegator.Daemon{Name: "full", DataCentre: "north", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+}
+
+// Guards against a daemon without memory whose refusal of a request reads as one that may have run (ONCE), or that reads the request first.
+func TestDaemonWithoutMemoryTakesNoRequests(t *testing.T) {
+	memory := reserver.NewMemory(1 << 20)
+	d := newBounded(t, memory, echo)
 	call := newCall()
 	call.Body = make([]byte, 300<<10)
 
@@ -86,12 +91,7 @@
 	const memoryBytes, headers = 1 << 20, 20_000
 	memory := reserver.NewMemory(memoryBytes)
 	served := 0
-	handler := delegator.NewHandler(delegator.HandlerSettings{MaxOpen: 2, Now: time.Now, Memory: memory, Serve: func(context.Context, http.ResponseWriter, delegator.Request) { served++ }})
-	mux := http.NewServeMux()
-	mux.Handle(handler.HTTP())
-	server := httptest.NewServer(mux)
-	defer server.Close()
-	d := newDelegator(t, delegator.Daemon{Name: "full", DataCentre: "north", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	d := newBounded(t, memory, func(context.Context, http.ResponseWriter, delegator.Request) { served++ })
 	call := newCall()
 	for i := range headers {
 		call.Header.Set(fmt.Sprint("X-", i), "v")
@@ -103,3 +103,21 @@
 		t.Errorf("%v, served %d times", err, served)
 	}
 }
+
+// Guards against requests that keep their memory for ever since their answer was aborted.
+func TestAbortedRequestsGiveTheirMemoryBack(t *testing.T) {
+	memory := reserver.NewMemory(1 << 20)
+	d := newBounded(t, memory, func(context.Context, http.ResponseWriter, delegator.Request) { panic(http.ErrAbortHandler) })
+	call := newCall()
+	call.Body = make([]byte, 100<<10)
+	if _, err := d.Send(t.Context(), service, call); err == nil {
+		t.Error("an aborted answer counts as one")
+	}
+	for range 100 {
+		if memory.Held() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("%d bytes are still held", memory.Held())
+}
