configurator: what a peer brings during a read of the log is not taken as read

After the store came back from a copy, operators' changes could end up in a log that no new daemon can read: a daemon without peers reports a gap and stays at revision 0.

Cause: Commit reads the log (empty after the restore, so its end is revision 0), a peer brings revision 1 meanwhile, and the check against the peers compares their highest revision with this daemon's present one. The next entry then extends revision 1, which the store has lost, and nobody recreates revision 1 any more, since the newest entry is there.

Change: readLog returns the end of the log that it read. The check against the peers and the next entry use that end; if the current revision is another one, the log is read again.

New: TestEntryThatArrivesDuringReadIsNotTakenAsRead lets a peer's entry arrive during each read.

--- a/configurator/commit.go
+++ b/configurator/commit.go
@@ -52,10 +52,15 @@
 	retry := c.newBackoff()
 	for attempt := 0; ; attempt++ {
 		readStarted := time.Now()
-		if err := c.catchUp(ctx); err != nil {
+		end, err := c.catchUp(ctx)
+		if err != nil {
 			return entry{}, err
 		}
-		e, err := c.prepare(base, nonce, change)
+		current := c.cloneHistory()
+		if current.revision != end {
+			continue // A peer brought a later revision, which this read has not found on the platform.
+		}
+		e, err := c.prepare(current, base, nonce, change)
 		if err != nil {
 			return entry{}, err
 		}
@@ -72,44 +77,42 @@
 	}
 }
 
-// catchUp reads the log up to its end, so that the next entry extends the log that all daemons have
-// accepted. It fails unless the platform returns the entry of the current revision and no reachable
-// peer has a later one: writing after missing entries would let a restored platform start a second
-// log.
-func (c *Configurator) catchUp(ctx context.Context) error {
+// catchUp reads the log up to its end and returns its last revision, so that the next entry extends
+// the log that all daemons have accepted. It fails unless the platform returns the entry of the
+// current revision and no reachable peer has a later one: writing after missing entries would let a
+// restored platform start a second log.
+func (c *Configurator) catchUp(ctx context.Context) (end registrar.Revision, err error) {
 	retry := c.newBackoff()
 	for read := 1; ; read++ {
-		err := c.readLog(ctx)
+		end, err = c.readLog(ctx)
 		if err == nil {
-			err = c.checkPeers(ctx)
+			err = c.checkPeers(ctx, end)
 		}
 		var behind *BehindError
 		var gap *GapError
 		transient := errors.As(err, &behind) || errors.As(err, &gap)
 		if !transient || read == maxBehindReads || ctx.Err() != nil {
-			return err
+			return end, err
 		}
 		retry.pause(ctx)
 	}
 }
 
-// checkPeers returns a BehindError if a reachable peer has a later revision than this daemon, which has
-// just read the log to its end. The peers are asked after that read: an entry that the platform had
-// accepted and lost before it is then in force at the daemon that committed it.
-func (c *Configurator) checkPeers(ctx context.Context) error {
+// checkPeers returns a BehindError if a reachable peer has a later revision than the end of the log, which
+// has just been read. The peers are asked after that read: an entry that the platform had accepted and
+// lost before it is then in force at the daemon that committed it. What this daemon got from a peer since
+// the read began does not count as read.
+func (c *Configurator) checkPeers(ctx context.Context, end registrar.Revision) error {
 	peers := c.queryPeers(ctx)
-	if !c.behindPeers(peers) {
+	if peers.err != nil || peers.reachable == 0 || end >= peers.highest {
 		return nil
 	}
 	return &BehindError{Current: peers.highest}
 }
 
-// prepare rebases the change onto the current configuration, validates the result and encodes the
-// change as the next entry.
-func (c *Configurator) prepare(base registrar.Revision, nonce string, change registrar.Change) (e entry, err error) {
-	c.mu.Lock()
-	h := c.history
-	c.mu.Unlock()
+// prepare rebases the change onto the end of the log, validates the result and encodes the change as
+// the next entry.
+func (c *Configurator) prepare(h history, base registrar.Revision, nonce string, change registrar.Change) (e entry, err error) {
 	if err := h.checkOverlap(base, change.References()); err != nil {
 		return entry{}, err
 	}
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -29,7 +29,7 @@
 	c.catchUpAtStart(ctx)
 	retry := c.newBackoff()
 	for ctx.Err() == nil {
-		err := c.readLog(ctx)
+		_, err := c.readLog(ctx)
 		if err == nil {
 			retry = c.newBackoff()
 			err = c.watchOrWait(ctx)
@@ -68,7 +68,8 @@
 		peers := c.queryPeers(ctx)
 		waitForPeers := time.Since(started) < c.settings.PeerCatchUpTimeout
 		if !platformRead && !time.Now().Before(nextRead) && !(waitForPeers && c.behindPeers(peers)) {
-			platformRead = c.readLog(ctx) == nil
+			_, err := c.readLog(ctx)
+			platformRead = err == nil
 			nextRead = time.Now().Add(retry.next())
 		}
 		if c.caughtUp(peers, platformRead, waitForPeers) {
--- a/configurator/maintenance.go
+++ b/configurator/maintenance.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.readLog(ctx); err != nil {
+	if _, err := c.readLog(ctx); err != nil {
 		return c.recreateLost(ctx, l, m, err)
 	}
 	current := c.Digest().Revision
--- a/configurator/reading.go
+++ b/configurator/reading.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/rosemaryrill/rosemaryrill/registrar"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
@@ -15,23 +16,24 @@
 }
 
 // readLog reads the entries after the current revision from the platform and applies them. It
-// returns nil if the platform returned its log to the end. When the read fails halfway, a daemon
-// that is ready still applies the entries that were read, since the configuration after each of them
-// was once the current one.
-func (c *Configurator) readLog(ctx context.Context) error {
+// returns the last revision of the platform's log if the platform returned its log to the end; peers
+// may have brought a later one meanwhile. When the read fails halfway, a daemon that is ready still
+// applies the entries that were read, since the configuration after each of them was once the
+// current one.
+func (c *Configurator) readLog(ctx context.Context) (end registrar.Revision, err error) {
 	r := &logReader{c: c, next: c.cloneHistory()}
 	version, err := r.run(ctx)
 	if err != nil && !c.Ready() {
-		return err
+		return 0, err
 	}
 	if applyErr := c.applyHistory(r.next); applyErr != nil {
-		return applyErr
+		return 0, applyErr
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	c.recordUpToDate(version)
-	return nil
+	return r.next.revision, nil
 }
 
 // cloneHistory returns a copy of the current history that can be extended separately.
--- a/configurator/restore_test.go
+++ b/configurator/restore_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rosemaryrill/rosemaryrill/configurator"
+	"github.com/rosemaryrill/rosemaryrill/storer"
 )
 
 // repairLimit is how soon changes must be accepted again after a restore: the time until the platform
@@ -59,6 +61,47 @@
 	}
 }
 
+// gossipingStore lets a peer's entries arrive during each read of the log.
+type gossipingStore struct {
+	configurator.Store
+	arrive func()
+}
+
+func (s gossipingStore) List(ctx context.Context, prefix, after string, limit int) (storer.Page, error) {
+	page, err := s.Store.List(ctx, prefix, after, limit)
+	s.arrive()
+	return page, err
+}
+
+// TestEntryThatArrivesDuringReadIsNotTakenAsRead guards against an entry that is written after one that the
+// store has lost, by a daemon that got the lost one from a peer while it read the log.
+func TestEntryThatArrivesDuringReadIsNotTakenAsRead(t *testing.T) {
+	testFleet(t, 3, func(t *testing.T, f *fleet) {
+		var late *configurator.Configurator
+		var arrives atomic.Bool
+		settings := f.members[2].settings()
+		settings.Store = gossipingStore{f.platform.Connection("late"), func() {
+			if arrives.Load() {
+				f.exchange(late, f.members[0].live())
+			}
+		}}
+		late, err := configurator.New(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = late.Close() }()
+		time.Sleep(10 * time.Second)
+		backup := f.platform.Snapshot().WithoutLeases()
+		mustCommit(t, f, f.members[0], 0)
+		f.platform.Restore(backup)
+		arrives.Store(true)
+		if _, err := late.Commit(t.Context(), 0, pairChange(1, "late")); err != nil {
+			t.Log(err)
+		}
+		f.checkFinalState()
+	})
+}
+
 // TestLeaseGivenOutAgainIsNotRenewed guards against a maintenance leader that keeps the lease of another
 // daemon alive after that one has died, because the restored store gave the ID out again.
 func TestLeaseGivenOutAgainIsNotRenewed(t *testing.T) {
