recorder: a version is marked in the store before it is removed

Cause, from a trace with all daemons' logs: daemon d2 heard nothing of the targets for 30 s, but reached the store. It read the key for a take-up, found versions that it did not list, and removed them, with the revision that it had just read. Others wrote them again, it removed them again. A take-up within that moment found one version there and here, of the wrong software.

Change: what a daemon does not list for the retention is marked in the key first. A daemon that lists a marked version writes the key without the mark. Daemons of older releases ignore marks and drop them when they write; the mark then begins anew.

New: TestDaemonOutOfStepRemovesNoListedVersion, red before ("a stream of v2 goes on at v1").

--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// Guards against streams that are joined from two versions (ORDER): a daemon hears nothing of the targets for long but reaches the store, and
+// removes versions from there that others list.
+func TestDaemonOutOfStepRemovesNoListedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, 3, "v1")
+		late, other := w.daemons[0], w.daemons[1]
+		late.step(true, false)
+		w.serve("v2")
+		time.Sleep(4 * longest)
+		for range 200 {
+			w.beginAt(other)
+			stream := w.streams[len(w.streams)-1]
+			if software, known := late.origins.Find(context.Background(), stream.Stream); known && software != stream.software {
+				t.Errorf("a stream of %s goes on at %s", stream.software, software)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		for _, d := range w.daemons {
+			d.stop()
+		}
+		time.Sleep(newsDelay)
+	})
+}
+
 // Guards against take-ups that are refused although they could go on (LOST): two versions serve for long, and a third of the daemons
 // is killed now and then.
 func TestTakeUpsGoOnWhileTwoVersionsServe(t *testing.T) {
--- a/recorder/versions.go
+++ b/recorder/versions.go
@@ -28,8 +28,8 @@
 	turnInterval = 500 * time.Millisecond
 	// maxTurns bounds the daemons that leave each other time.
 	maxTurns = 8
-	// removalMargin is how long a version stays in the store after its retention. No daemon then writes it again because it saw
-	// the last target leave a little later.
+	// removalMargin is how long a version stays in the store after its retention, marked as unlisted. A daemon that lists it takes the mark back,
+	// and none writes it again after that because it saw the last target leave a little later.
 	removalMargin = 10 * time.Second
 	// commitTimeout bounds a call to the store.
 	commitTimeout = 2 * time.Second
@@ -85,6 +85,8 @@
 	recorded   map[string]bool
 	revision   storer.Version
 	completeIn storer.Era
+	// unlisted are the marks in the store, by version.
+	unlisted map[string]mark
 	// witnessed is set if this daemon knew the key before the store came back from a copy, so that it has what the copy lacks.
 	witnessed bool
 	// listed is when a target of each version was last listed, and current are the versions of the targets now.
@@ -96,10 +98,20 @@
 	differsSince time.Time
 }
 
-// wireVersions is the value of a key. Daemons of older releases write no era.
+// mark tells the other daemons that a version is to be removed from the store. The daemon that wrote it may be out of step.
+type mark struct {
+	// after is the revision of the key before the one that brought the mark, so that no two marks are the same.
+	after storer.Version
+	// seen is when this daemon first saw it.
+	seen time.Time
+}
+
+// wireVersions is the value of a key. Daemons of older releases write no era or no marks.
 type wireVersions struct {
 	Versions []string   `json:"versions"`
 	Era      storer.Era `json:"era,omitempty"`
+	// Unlisted are the marks, each with the revision before it.
+	Unlisted map[string]storer.Version `json:"unlisted,omitempty"`
 }
 
 // NewVersions returns Versions that know no version.
@@ -284,9 +296,38 @@
 	versions []string
 	// completeIn is the era in which the versions are complete; zero if it is not known.
 	completeIn storer.Era
+	// unlisted are the marks, each with the revision before it.
+	unlisted map[string]storer.Version
 }
 
-// due returns the changes that are due: a version is missing in the store, or has not been listed for the retention.
+// wanted returns the versions that the store should have, and their marks. What this daemon doesn't list is marked first: others may list it. It
+// is removed if the mark stands for removalMargin. The caller holds mu.
+func (v *Versions) wanted(s *service, now time.Time) (versions map[string]bool, unlisted map[string]storer.Version) {
+	versions = v.lately(s, now)
+	unlisted = make(map[string]storer.Version)
+	removes := now.Sub(v.started) > v.retention()+removalMargin
+	for version := range s.recorded {
+		known, marked := s.unlisted[version]
+		switch {
+		case s.current[version]:
+		case marked && removes && !versions[version] && now.Sub(known.seen) >= removalMargin:
+			continue
+		case marked:
+			unlisted[version] = known.after
+		case removes && !versions[version]:
+			unlisted[version] = s.revision
+		}
+		versions[version] = true
+	}
+	return versions, unlisted
+}
+
+// hasMarks reports whether the marks in the store are these.
+func (s *service) hasMarks(unlisted map[string]storer.Version) bool {
+	return maps.EqualFunc(s.unlisted, unlisted, func(m mark, after storer.Version) bool { return m.after == after })
+}
+
+// due returns the changes that are due: a version is missing in the store, or has not been listed for the retention, or is listed and marked.
 func (v *Versions) due() (changes []change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -295,17 +336,12 @@
 	}
 	now := v.settings.Now()
 	for name, s := range v.services {
-		wanted := v.lately(s, now)
-		for version := range s.recorded {
-			_, known := s.listed[version]
-			wanted[version] = known || now.Sub(v.started) <= v.retention()+removalMargin
-		}
-		maps.DeleteFunc(wanted, func(_ string, is bool) bool { return !is })
+		wanted, unlisted := v.wanted(s, now)
 		completeIn := s.completeIn
 		if s.isMarkedComplete() || v.completes(s, now) {
 			completeIn = s.revision.Era()
 		}
-		if maps.Equal(wanted, s.recorded) && completeIn == s.completeIn {
+		if maps.Equal(wanted, s.recorded) && completeIn == s.completeIn && s.hasMarks(unlisted) {
 			s.differsSince = time.Time{}
 			continue
 		}
@@ -314,7 +350,9 @@
 		}
 		turn := min(ranker.Position(v.settings.Name, v.peers, xxh3.HashString(name)), maxTurns)
 		if now.Sub(s.differsSince) >= time.Duration(turn)*turnInterval {
-			changes = append(changes, change{service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted)), completeIn: completeIn})
+			changes = append(changes, change{
+				service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted)), completeIn: completeIn, unlisted: unlisted,
+			})
 		}
 	}
 	return changes
@@ -324,7 +362,7 @@
 func (v *Versions) commit(ctx context.Context, c change) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	value, err := json.Marshal(wireVersions{Versions: c.versions, Era: c.completeIn})
+	value, err := json.Marshal(wireVersions{Versions: c.versions, Era: c.completeIn, Unlisted: c.unlisted})
 	if err != nil {
 		v.settings.Logger.Error("versions of the targets' software cannot be encoded", "service", c.service, "error", err)
 		return
@@ -338,7 +376,7 @@
 		v.settings.Logger.Warn("versions of the targets' software not recorded", "service", c.service, "versions", c.versions, "error", err)
 	}
 	if err == nil {
-		v.settings.Logger.Info("versions of the targets' software recorded", "service", c.service, "versions", c.versions, "revision", revision)
+		v.settings.Logger.Info("versions of the targets' software recorded", "service", c.service, "versions", c.versions, "unlisted", c.unlisted, "revision", revision)
 		v.apply(storer.Item{Key: key, Value: value, Version: revision})
 	}
 }
@@ -354,8 +392,7 @@
 	defer v.mu.Unlock()
 	for name, s := range v.services {
 		if !present[name] {
-			v.lose(s, nil)
-			s.recorded, s.revision = make(map[string]bool), 0
+			v.loseKey(s)
 		}
 	}
 	v.read = true
@@ -371,8 +408,7 @@
 		v.mu.Lock()
 		s := v.service(strings.TrimPrefix(event.Item.Key, v.settings.Prefix))
 		if event.Item.Version > s.revision {
-			v.lose(s, nil)
-			s.recorded, s.revision = make(map[string]bool), 0
+			v.loseKey(s)
 		}
 		v.mu.Unlock()
 	}
@@ -400,6 +436,26 @@
 		v.lose(s, recorded)
 	}
 	s.recorded, s.revision, s.completeIn = recorded, item.Version, wire.Era
+	s.setMarks(wire.Unlisted, v.settings.Now())
+}
+
+// setMarks replaces the marks. Those that were there before have been seen for longer.
+func (s *service) setMarks(unlisted map[string]storer.Version, now time.Time) {
+	marks := make(map[string]mark, len(unlisted))
+	for version, after := range unlisted {
+		known, marked := s.unlisted[version]
+		if !marked || known.after != after {
+			known = mark{after: after, seen: now}
+		}
+		marks[version] = known
+	}
+	s.unlisted = marks
+}
+
+// loseKey records that the store doesn't have the key. The caller holds mu.
+func (v *Versions) loseKey(s *service) {
+	v.lose(s, nil)
+	s.recorded, s.revision, s.unlisted = make(map[string]bool), 0, nil
 }
 
 // lose keeps the versions that the store has lost, as if they had been listed until now. Daemons remove a version only by a write in
