assembler: a body that the host has no memory for is refused at its head

With a maxBodyBytes of the platform larger than the memory of a host, one legal request ended its process: a request that is alone may have any legal size.

Cause: the bounds on memory took the platform's limit as given. It is for hosts of all sizes, and may change at any moment.

--- a/assembler/bodies.go
+++ b/assembler/bodies.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/rosemaryrill/rosemaryrill/cataloger"
 	"github.com/rosemaryrill/rosemaryrill/dialer"
 	"github.com/rosemaryrill/rosemaryrill/platform"
 	"github.com/rosemaryrill/rosemaryrill/relayer"
@@ -20,6 +21,8 @@
 	bodyTimeout = 5 * time.Minute
 	// answerTimeout is how long a caller may leave a piece of its answer unread.
 	answerTimeout = 30 * time.Second
+	// bodyCopies is how often the body of a request is held.
+	bodyCopies = 1
 	// maxInternalHeaderBytes limits the heads of requests to the ports that are not for callers.
 	maxInternalHeaderBytes = 16 << 10
 )
@@ -97,11 +100,21 @@
 	return ""
 }
 
+// maxBodyBytes returns the size of the largest body that is taken: the limit of the configuration, which is for hosts of any size, or what the
+// memory of this one has room for.
 func (e *edge) maxBodyBytes() int64 {
+	limit := int64(defaultMaxBodyBytes)
 	if catalog := e.daemon.view.Catalog(); catalog != nil && catalog.Limits().MaxBodyBytes > 0 {
-		return int64(catalog.Limits().MaxBodyBytes)
+		limit = int64(catalog.Limits().MaxBodyBytes)
+	}
+	return min(limit, e.daemon.memory.LargestBody(bodyCopies))
+}
+
+// checkLimits warns if the configuration allows larger bodies than this host has memory for.
+func (d *Daemon) checkLimits(limits cataloger.Limits) {
+	if largest := d.memory.LargestBody(bodyCopies); int64(limits.MaxBodyBytes) > largest {
+		d.logger.Warn("larger bodies are allowed than there is memory for", "limit", limits.MaxBodyBytes, "largest", largest)
 	}
-	return defaultMaxBodyBytes
 }
 
 // refuseBody answers a request whose body was not read to its end. Unless its connection has ended, a caller that goes on to send gets its
--- a/assembler/view.go
+++ b/assembler/view.go
@@ -92,6 +92,7 @@
 			v.placer.SetCacheStores(stores)
 			d.cachePolling.setStores(stores)
 			d.quotas.SetQuotas(catalog.LimitedAccounts())
+			d.checkLimits(catalog.Limits())
 			if catalog.ListsAccounts() {
 				d.accounts.Declare()
 			}
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -55,6 +55,8 @@
 	client *http.Client
 	// metrics is the URL of the daemon's metrics.
 	metrics string
+	// limitBodies changes the platform's limit on bodies, for rilld front.
+	limitBodies func(bytes int)
 	// startDaemon starts the daemon and waits until it is ready.
 	startDaemon func()
 }
@@ -127,8 +129,12 @@
 	}
 	t.Cleanup(func() { _ = store.Close() })
 	configuration := frontConfiguration
-	configuration.MaxBodyBytes = hostileBody
-	store.PutConfiguration(configuration)
+	h.limitBodies = func(bytes int) {
+		configuration.Version++
+		configuration.MaxBodyBytes = bytes
+		store.PutConfiguration(configuration)
+	}
+	h.limitBodies(hostileBody)
 	for i, service := range []string{"engines", "services"} {
 		target := hostingemulator.NewTarget(hostingemulator.TargetSettings{
 			ID: fmt.Sprint("target-", i), Service: service, Zone: "north", Store: store, Model: []string{"m", ""}[i], Slots: 100,
--- a/reserver/memory.go
+++ b/reserver/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -117,6 +118,14 @@
 	}
 }
 
+// LargestBody returns the size of the largest body that is held in a number of copies and fits if its request is alone.
+func (m *Memory) LargestBody(copies int) int64 {
+	if m == nil {
+		return math.MaxInt64
+	}
+	return m.bodiesBytes / int64(copies)
+}
+
 // Answers returns the part of the memory for incomplete answers. A nil Memory has no bound.
 func (m *Memory) Answers() *Budget {
 	if m == nil {
