server: a body that the process has no memory for is refused at its head

Change: a body has to fit with its copies (three for a chat) if it comes alone; otherwise it is too_large before it is read. A warning at the start tells both sizes.

--- a/server/body.go
+++ b/server/body.go
@@ -19,12 +19,13 @@
 	serviceCopies = 1
 )
 
-// readBody reads a body within MaxBodyBytes, BodyTimeout and Memory. The share has to be released; it is nil with a refusal. While the daemon
+// readBody reads a body within MaxBodyBytes, BodyTimeout and Memory, which a body has to fit that comes alone. The share has to be released; it is nil with a refusal. While the daemon
 // stops, it refuses the request instead. If reading fails, the read deadline stays on the connection, since the HTTP server goes on reading
 // the rest of the body.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, account string, copies int) (body []byte, share *reserver.Share, refusal *refuser.Refusal) {
-	if r.ContentLength > s.settings.MaxBodyBytes {
-		return nil, nil, s.tooLarge()
+	limit := min(s.settings.MaxBodyBytes, s.settings.Memory.LargestBody(copies))
+	if r.ContentLength > limit {
+		return nil, nil, tooLarge(limit)
 	}
 	control := http.NewResponseController(w)
 	share, err := s.acquire(r, control, account, copies)
@@ -38,7 +39,7 @@
 		_ = control.SetReadDeadline(time.Now())
 	}
 	stop := interruptAtShutdown(r.Context(), control)
-	reader := http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes)
+	reader := http.MaxBytesReader(w, r.Body, limit)
 	body, err = reserver.Body{Reader: reader, Length: r.ContentLength, Copies: copies, Share: share}.ReadAll(r.Context())
 	stop()
 	if refusal := s.bodyRefusal(w, r, err); refusal != nil {
@@ -62,7 +63,7 @@
 
 // bodyRefusal returns the refusal of a request whose body was read with an error or too late, or nil.
 func (s *Server) bodyRefusal(w http.ResponseWriter, r *http.Request, err error) *refuser.Refusal {
-	var tooLarge *http.MaxBytesError
+	var tooMany *http.MaxBytesError
 	var full *reserver.FullError
 	switch {
 	case err != nil && isShutDown(r.Context()):
@@ -75,8 +76,8 @@
 		return nil
 	case errors.As(err, &full):
 		return noMemory(full)
-	case errors.As(err, &tooLarge):
-		return s.tooLarge()
+	case errors.As(err, &tooMany):
+		return tooLarge(tooMany.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		w.Header().Set("Connection", "close")
 		return refuser.New(refuser.CodeBodyTimeout, "the body did not arrive within %s", s.settings.BodyTimeout)
@@ -85,8 +86,8 @@
 	return refuser.New(refuser.CodeBadRequest, "the body could not be read").WithCause(err)
 }
 
-func (s *Server) tooLarge() *refuser.Refusal {
-	return refuser.New(refuser.CodeTooLarge, "the body has more than %d bytes", s.settings.MaxBodyBytes)
+func tooLarge(limit int64) *refuser.Refusal {
+	return refuser.New(refuser.CodeTooLarge, "the body has more than %d bytes", limit)
 }
 
 func noMemory(full *reserver.FullError) *refuser.Refusal {
--- a/server/server.go
+++ b/server/server.go
@@ -180,6 +180,9 @@
 		return nil, errs.New("configuration, completer and invoker are needed")
 	}
 	s = &Server{settings: settings.withDefaults(), propagator: otel.GetTextMapPropagator()}
+	if largest := s.settings.Memory.LargestBody(chatCopies); s.settings.MaxBodyBytes > largest {
+		s.settings.Log.Warn("larger bodies are allowed than there is memory for", "limit", s.settings.MaxBodyBytes, "largest_chat", largest)
+	}
 	s.http = &http.Server{
 		Handler:           markHandlerStarted(limitUnreadBodies(s.Handler())),
 		ConnContext:       contextWithConnection,
