drainer: a connection that makes room within a head ends

Cause, from the daemon's goroutines: the connection that has waited longest is ended by a deadline in the past, and Read returns its timeout. Between two fields package net/textproto ignores that error and reads on; by then the last look into the socket had cleared the deadline, so this read waits without one, and the connection does not count as one that can make room any more. The same with the error for want of memory: the bytes that came with it were lost, and the head went on behind them.

Change: once Read has ended a connection, all further calls return that error. For want of memory nothing of the last piece is returned, so it is not parsed.

--- a/drainer/bounds_test.go
+++ b/drainer/bounds_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// Guards against unfinished heads that hold all connections for ever: package net/textproto ignores the error of a connection that ends between two
+// fields of a head, and reads on.
+func TestHeadsThatEndBetweenFieldsMakeRoom(t *testing.T) {
+	s := startServer(t, drainer.Settings{MaxConnections: manyConnections}, listen(t), func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "answer")
+	})
+	for range 4 * manyConnections {
+		_, _ = io.WriteString(dial(t, s.address), "GET / HTTP/1.1\r\nHost: x\r\n") // Some are closed at once.
+	}
+	served := 0
+	for range 2 * manyConnections {
+		time.Sleep(200 * time.Millisecond)
+		served += answered(s.address)
+	}
+	if served < manyConnections {
+		t.Errorf("%d of %d requests were served", served, 2*manyConnections)
+	}
+}
+
 // answered returns 1 if a new connection gets an answer.
 func answered(address string) int {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -38,6 +38,9 @@
 	drainer   *Drainer
 	closeOnce sync.Once
 	closeErr  error
+	// endedBy is the error with which Read has ended the connection. All further calls return it: package net/textproto ignores an error between two
+	// fields of a head, and would wait for bytes without a deadline. Only the goroutine that reads uses it.
+	endedBy error
 
 	mu    sync.Mutex
 	state connectionState
@@ -77,19 +80,26 @@
 // Read implements net.Conn. If the connection is to end and nothing has arrived, it returns io.EOF, so that the server
 // closes it as if the caller had done so, or a timeout within the head of a request.
 func (c *connection) Read(p []byte) (n int, err error) {
+	if c.endedBy != nil {
+		return 0, c.endedBy
+	}
 	c.awaitWritten()
 	c.awaitPause()
 	n, err = c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isEnding() {
 		n, err = c.lookAgain(p)
 		if n == 0 {
-			return 0, c.endError(err)
+			c.endedBy = c.endError(err)
+			return 0, c.endedBy
 		}
 	}
-	if n > 0 {
-		return n, c.received(n)
+	if n == 0 {
+		return 0, err
+	}
+	if c.endedBy = c.received(n); c.endedBy != nil {
+		return 0, c.endedBy // What has arrived isn't parsed, since there is no memory for that.
 	}
-	return n, err
+	return n, nil
 }
 
 // lookAgain reads what has arrived or arrives within lastLook. A goroutine that gets to run only after the deadline would
