drainer: the fields of a head count, not only its bytes

Cause: up to 4 KiB of each head are free, and 700 fields in them become a map and a list of 100 KB.

Change: each field beyond the first 64 takes 160 bytes of the memory for heads (as over HTTP/2). Clients with up to 64 fields and 4 KiB take nothing, as before.

--- a/cmd/rilld/hostile_clients_test.go
+++ b/cmd/rilld/hostile_clients_test.go
@@ -183,3 +183,10 @@
 		}
 	}
 }
+
+// sendBytes sends the beginning of a head.
+func sendBytes(beginning string) hostileClient {
+	return func(conn net.Conn, _ *hostile) {
+		_, _ = io.WriteString(conn, name(beginning)) // The daemon may end the connection.
+	}
+}
--- /dev/null
+++ b/cmd/rilld/hostile_many_test.go
@@ -0,0 +1,31 @@
+package main_test
+
+import (
+	"strings"
+	"testing"
+)
+
+const (
+	// manyDescriptors is a descriptor limit at which the memory bounds the connections, and manyClients are more than these.
+	manyDescriptors = 3000
+	manyClients     = 3000
+	// tinyFields is how many fields fill a head of legal size.
+	tinyFields = 2300
+)
+
+// Guards against what grows with the number of connections, where descriptors don't bound them: fields of heads that cost more once they are parsed.
+func TestHostileHeadsOnManyConnections(t *testing.T) {
+	tiny := strings.Repeat("a: b\r\n", tinyFields)
+	several := strings.Repeat("X-F: "+strings.Repeat("f", 993)+"\r\n", 15)
+	checkCases(t, []hostileCase{
+		{"tiny fields, bodies one byte short", "callers", manyClients, sendBody(order+tiny, 1<<10, 1, 0)},
+		{"tiny fields of half a head", "callers", manyClients, sendBytes(order + tiny[:4<<10])},
+		{"long fields, bodies one byte short", "callers", manyClients, sendBody(order+several, 1<<10, 1, 0)},
+		{"small bodies one byte short", "callers", manyClients, sendBody(order, 1<<10, 1, 0)},
+		{"idle connections", "callers", manyClients, idle},
+	}, startWithManyDescriptors)
+}
+
+func startWithManyDescriptors(t *testing.T, folder string) *hostile {
+	return startFront(t, folder, manyDescriptors)
+}
--- a/cmd/rilld/hostile_test.go
+++ b/cmd/rilld/hostile_test.go
@@ -26,7 +26,7 @@
 	hostileMemory = 112e6
 	// hostileBody is the largest legal body of rilld front in the tests.
 	hostileBody = 4_194_304
-	// hostileDescriptors is the descriptor limit of the daemon's process, of which spareDescriptors have to stay free.
+	// hostileDescriptors is the descriptor limit of the daemon's process, unless a test sets another, and spareDescriptors have to stay free.
 	hostileDescriptors = 512
 	spareDescriptors   = 32
 	// hostileTime bounds what one hostile client does before it only holds its connection.
@@ -51,6 +51,8 @@
 	// largestBody is the size of the largest legal body.
 	largestBody int
 	memoryBytes float64
+	// descriptors is the descriptor limit of the daemon's process.
+	descriptors int
 	// client sends the ordinary requests.
 	client *http.Client
 	// metrics is the URL of the daemon's metrics.
@@ -101,7 +103,7 @@
 // startLimited starts a daemon with a descriptor limit below the test's own, which only a shell can set. It becomes the daemon.
 func (h *hostile) startLimited(arguments ...string) {
 	h.t.Helper()
-	script := fmt.Sprintf("ulimit -n %d && exec %s \"$@\"", hostileDescriptors, filepath.Join(h.folder, "rilld"))
+	script := fmt.Sprintf("ulimit -n %d && exec %s \"$@\"", h.descriptors, filepath.Join(h.folder, "rilld"))
 	if err := os.Symlink("/bin/sh", filepath.Join(h.folder, "sh")); err != nil && !os.IsExist(err) {
 		h.t.Fatal(err)
 	}
@@ -109,7 +111,7 @@
 }
 
 func newHostile(t *testing.T, folder string) *hostile {
-	h := &hostile{processes: &processes{t: t, folder: folder, running: make(map[string]*process)}, ports: make(map[string]string)}
+	h := &hostile{processes: &processes{t: t, folder: folder, running: make(map[string]*process)}, ports: make(map[string]string), descriptors: hostileDescriptors}
 	h.client = &http.Client{Timeout: hostileTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	t.Cleanup(h.close)
 	for _, port := range []string{"callers", "peers", "operators", "ready", "metrics"} {
@@ -120,8 +122,13 @@
 
 // startHostileFront starts rilld front with the memory of the smallest host.
 func startHostileFront(t *testing.T, folder string) *hostile {
+	return startFront(t, folder, hostileDescriptors)
+}
+
+// startFront starts the same with a descriptor limit.
+func startFront(t *testing.T, folder string, descriptors int) *hostile {
 	h := newHostile(t, folder)
-	h.largestBody, h.memoryBytes = hostileBody, hostileMemory
+	h.largestBody, h.memoryBytes, h.descriptors = hostileBody, hostileMemory, descriptors
 	h.metrics = "http://" + h.ports["metrics"] + "/metrics"
 	store := hostingemulator.NewStore()
 	if err := store.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
@@ -238,8 +245,8 @@
 	if peak.bytes() > h.memoryBytes {
 		h.t.Errorf("%.0f MB in use, the host has %.0f MB", peak.bytes()/1e6, h.memoryBytes/1e6)
 	}
-	if peak.descriptors > hostileDescriptors-spareDescriptors {
-		h.t.Errorf("%d descriptors in use, the host has %d", peak.descriptors, hostileDescriptors)
+	if peak.descriptors > h.descriptors-spareDescriptors {
+		h.t.Errorf("%d descriptors in use, the host has %d", peak.descriptors, h.descriptors)
 	}
 }
 
--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -1,6 +1,7 @@
 package drainer
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +15,9 @@
 	// freeHeadBytes is the length of a head that doesn't count, and headCopies how often net/http holds the rest while it reads it.
 	freeHeadBytes = 4 << 10
 	headCopies    = 3
+	// freeHeadFields is the number of fields that don't count, and fieldBytes what net/http holds for each of the others, however short.
+	freeHeadFields = 64
+	fieldBytes     = 160
 	// headStepBytes is how much memory is taken at once for a head.
 	headStepBytes = 16 << 10
 	// spareRatio is the part of the connections that is kept for new ones, for which older ones make room.
@@ -29,11 +33,17 @@
 // errHeadMemory is the cause if the connection is closed since there is no memory for a long head.
 var errHeadMemory = errors.New("no memory for the head of the request")
 
-// takeHead takes memory for a long head. The caller holds mu.
-func (c *connection) takeHead(bytes int) error {
+// headEnd ends a head.
+var headEnd = []byte("\r\n\r\n")
+
+// takeHead takes memory for a piece of a head that is long or has many fields. The piece may end with the beginning of a body, which doesn't
+// count. The caller holds mu.
+func (c *connection) takeHead(piece []byte) error {
 	heads := c.drainer.settings.Heads
-	c.headBytes += bytes
-	needed := headCopies * (c.headBytes - freeHeadBytes)
+	piece, _, _ = bytes.Cut(piece, headEnd)
+	c.headBytes += len(piece)
+	c.headFields += bytes.Count(piece, []byte{'\n'})
+	needed := headCopies*max(c.headBytes-freeHeadBytes, 0) + fieldBytes*max(c.headFields-freeHeadFields, 0)
 	if heads == nil || needed <= c.headTaken {
 		return nil
 	}
@@ -47,7 +57,7 @@
 
 // giveHeadBack gives back the memory for the head. The caller holds mu.
 func (c *connection) giveHeadBack() {
-	c.headBytes = 0
+	c.headBytes, c.headFields = 0, 0
 	if c.headTaken > 0 {
 		c.drainer.settings.Heads.GiveBack(c.headTaken)
 		c.headTaken = 0
--- a/drainer/connection.go
+++ b/drainer/connection.go
@@ -56,9 +56,10 @@
 	ending bool
 	// readDeadline is the read deadline that the server has set.
 	readDeadline time.Time
-	// headBytes is what has arrived of the current head, and headTaken the memory that was taken for it.
-	headBytes int
-	headTaken int
+	// headBytes and headFields are what has arrived of the current head, and headTaken is the memory that was taken for it.
+	headBytes  int
+	headFields int
+	headTaken  int
 	// writing is the number of writes that are under way on a connection of HTTP/2, written is closed when they have ended, and unanswered is
 	// what has arrived since they began.
 	writing    int
@@ -96,7 +97,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	if c.endedBy = c.received(n); c.endedBy != nil {
+	if c.endedBy = c.received(p[:n]); c.endedBy != nil {
 		return 0, c.endedBy // What has arrived isn't parsed, since there is no memory for that.
 	}
 	return n, nil
@@ -141,17 +142,17 @@
 
 // received records that bytes have arrived. They begin a request if none is being served. The error is one of the connection if there is no
 // memory for the rest of a head.
-func (c *connection) received(bytes int) error {
+func (c *connection) received(piece []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
-	c.unanswered += bytes
+	c.unanswered += len(piece)
 	if c.state != stateServing && c.state != stateEnding {
 		c.state, c.since = stateReceiving, time.Now()
 		if c.multiplexed {
 			return nil // These may be frames that belong to no request.
 		}
-		return c.takeHead(bytes)
+		return c.takeHead(piece)
 	}
 	return nil
 }
