drainer: fewer connections wait to be accepted

3,000 clients of rilld front with whole bodies of 60 KB took 197 to 218 MB of 112 (5 runs): 80 to 86 MB resident and the rest received and not read.

Cause: up to 1,100 connections waited to be accepted (the kernel allows 4,096), each with its whole body in its receive buffer. No bound of the daemon knows them.

Change: as many as an eighth of the connections that may be open, 128 at least, wait to be accepted. Beyond that the kernel leaves a caller's first packet unanswered, and the caller's kernel sends it again.

--- a/cmd/rilld/hostile_many_test.go
+++ b/cmd/rilld/hostile_many_test.go
@@ -11,6 +11,8 @@
 	manyClients     = 3000
 	// tinyFields is how many fields fill a head of legal size.
 	tinyFields = 2300
+	// smallBody is the size of a body that counts as small.
+	smallBody = 60 << 10
 )
 
 // Guards against what grows with the number of connections, where descriptors don't bound them: fields of heads that cost more once they are parsed.
@@ -26,6 +28,14 @@
 	}, startWithManyDescriptors)
 }
 
+// Guards against small bodies of connections that wait to be accepted, which the kernel holds, and against answers to them that nobody reads.
+func TestHostileBodiesOnManyConnections(t *testing.T) {
+	checkCases(t, []hostileCase{
+		{"answers not read", "callers", manyClients, sendBody(lookAt, smallBody, 0, 0)},
+		{"bodies one byte short", "callers", manyClients, sendBody(order, smallBody, 1, 0)},
+	}, startWithManyDescriptors)
+}
+
 func startWithManyDescriptors(t *testing.T, folder string) *hostile {
 	return startFront(t, folder, manyDescriptors)
 }
--- a/drainer/listener.go
+++ b/drainer/listener.go
@@ -31,6 +31,9 @@
 
 // Track returns a listener for the server, which tracks the connections that it accepts.
 func (d *Drainer) Track(inner net.Listener) net.Listener {
+	if d.settings.MaxConnections > 0 {
+		limitBacklog(inner, d.settings.MaxConnections)
+	}
 	l := &listener{Listener: inner, drainer: d}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/drainer/socket.go
+++ b/drainer/socket.go
@@ -13,8 +13,19 @@
 	maxUnsent = 64 << 10
 	// refusedReceiveBuffer is the size of the kernel's buffer for what a refused caller goes on to send.
 	refusedReceiveBuffer = 64 << 10
+	// backlogRatio is how many connections may wait to be accepted for each one that may be open, and minBacklog the least number.
+	backlogRatio = 1.0 / 8
+	minBacklog   = 128
 )
 
+// limitBacklog bounds the connections that wait to be accepted. Each may have sent as much as an ordinary one, and no bound of the daemon counts
+// that. Those beyond it try again, as after the loss of a packet.
+func limitBacklog(listener net.Listener, maxConnections int) {
+	control(listener, func(fd int) {
+		_ = unix.Listen(fd, max(int(backlogRatio*float64(maxConnections)), minBacklog)) // Without it, only the default holds.
+	})
+}
+
 // limitUnsent bounds what the kernel holds for a caller that doesn't read, which otherwise are several megabytes.
 func limitUnsent(conn net.Conn) {
 	setSocketOption(conn, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsent)
@@ -26,10 +37,14 @@
 	setSocketOption(conn, unix.SOL_SOCKET, unix.SO_RCVBUF, refusedReceiveBuffer)
 }
 
-// setSocketOption sets an option of a connection; if that fails, the kernel's default stays. Connections of tests that aren't sockets are left
-// alone.
+// setSocketOption sets an option of a connection; if that fails, the kernel's default stays.
 func setSocketOption(conn net.Conn, level, option, value int) {
-	socket, ok := conn.(syscall.Conn)
+	control(conn, func(fd int) { _ = unix.SetsockoptInt(fd, level, option, value) })
+}
+
+// control calls change with the descriptor of a connection or a listener. Those of tests that aren't sockets are left alone.
+func control(owner any, change func(fd int)) {
+	socket, ok := owner.(syscall.Conn)
 	if !ok {
 		return
 	}
@@ -37,7 +52,5 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), level, option, value)
-	})
+	_ = raw.Control(func(fd uintptr) { change(int(fd)) })
 }
