--- a/recorder/versions.go
+++ b/recorder/versions.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"log/slog"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/zeebo/xxh3"
 
 	"github.com/rosemaryrill/rosemaryrill/placer"
-	"github.com/rosemaryrill/rosemaryrill/ranker"
 	"github.com/rosemaryrill/rosemaryrill/storer"
 	"github.com/rosemaryrill/rosemaryrill/supervisor"
 	"github.com/rosemaryrill/rosemaryrill/waiter"
@@ -98,22 +93,6 @@
 	differsSince time.Time
 }
 
-// mark tells the other daemons that a version is to be removed from the store. The daemon that wrote it may be out of step.
-type mark struct {
-	// after is the revision of the key before the one that brought the mark, so that no two marks are the same.
-	after storer.Version
-	// seen is when this daemon first saw it.
-	seen time.Time
-}
-
-// wireVersions is the value of a key. Daemons of older releases write no era or no marks.
-type wireVersions struct {
-	Versions []string   `json:"versions"`
-	Era      storer.Era `json:"era,omitempty"`
-	// Unlisted are the marks, each with the revision before it.
-	Unlisted map[string]storer.Version `json:"unlisted,omitempty"`
-}
-
 // NewVersions returns Versions that know no version.
 func NewVersions(settings VersionsSettings) *Versions {
 	return &Versions{settings: settings, started: settings.Now(), cancel: func() {}, services: make(map[string]*service)}
@@ -288,183 +267,3 @@
 
 // retention is how long a version is kept: the streams that its last target had end first, and their take-ups after that.
 func (v *Versions) retention() time.Duration { return 2 * v.settings.Retention() }
-
-// change is a write to the store that is due.
-type change struct {
-	service  string
-	revision storer.Version
-	versions []string
-	// completeIn is the era in which the versions are complete; zero if it is not known.
-	completeIn storer.Era
-	// unlisted are the marks, each with the revision before it.
-	unlisted map[string]storer.Version
-}
-
-// wanted returns the versions that the store should have, and their marks. What this daemon doesn't list is marked first: others may list it. It
-// is removed if the mark stands for removalMargin. The caller holds mu.
-func (v *Versions) wanted(s *service, now time.Time) (versions map[string]bool, unlisted map[string]storer.Version) {
-	versions = v.lately(s, now)
-	unlisted = make(map[string]storer.Version)
-	removes := now.Sub(v.started) > v.retention()+removalMargin
-	for version := range s.recorded {
-		known, marked := s.unlisted[version]
-		switch {
-		case s.current[version]:
-		case marked && removes && !versions[version] && now.Sub(known.seen) >= removalMargin:
-			continue
-		case marked:
-			unlisted[version] = known.after
-		case removes && !versions[version]:
-			unlisted[version] = s.revision
-		}
-		versions[version] = true
-	}
-	return versions, unlisted
-}
-
-// hasMarks reports whether the marks in the store are these.
-func (s *service) hasMarks(unlisted map[string]storer.Version) bool {
-	return maps.EqualFunc(s.unlisted, unlisted, func(m mark, after storer.Version) bool { return m.after == after })
-}
-
-// due returns the changes that are due: a version is missing in the store, or has not been listed for the retention, or is listed and marked.
-func (v *Versions) due() (changes []change) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.read || !v.targetsKnown {
-		return nil
-	}
-	now := v.settings.Now()
-	for name, s := range v.services {
-		wanted, unlisted := v.wanted(s, now)
-		completeIn := s.completeIn
-		if s.isMarkedComplete() || v.completes(s, now) {
-			completeIn = s.revision.Era()
-		}
-		if maps.Equal(wanted, s.recorded) && completeIn == s.completeIn && s.hasMarks(unlisted) {
-			s.differsSince = time.Time{}
-			continue
-		}
-		if s.differsSince.IsZero() {
-			s.differsSince = now
-		}
-		turn := min(ranker.Position(v.settings.Name, v.peers, xxh3.HashString(name)), maxTurns)
-		if now.Sub(s.differsSince) >= time.Duration(turn)*turnInterval {
-			changes = append(changes, change{
-				service: name, revision: s.revision, versions: slices.Sorted(maps.Keys(wanted)), completeIn: completeIn, unlisted: unlisted,
-			})
-		}
-	}
-	return changes
-}
-
-// commit writes a change. If another daemon has written meanwhile, its change is read from the store first.
-func (v *Versions) commit(ctx context.Context, c change) {
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
-	defer cancel()
-	value, err := json.Marshal(wireVersions{Versions: c.versions, Era: c.completeIn, Unlisted: c.unlisted})
-	if err != nil {
-		v.settings.Logger.Error("versions of the targets' software cannot be encoded", "service", c.service, "error", err)
-		return
-	}
-	key := v.settings.Prefix + c.service
-	revision, err := v.settings.Store.Commit(ctx, storer.Transaction{
-		Conditions: []storer.Condition{{Key: key, Version: c.revision}}, Puts: []storer.Put{{Key: key, Value: value}},
-	})
-	var conflict *storer.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		v.settings.Logger.Warn("versions of the targets' software not recorded", "service", c.service, "versions", c.versions, "error", err)
-	}
-	if err == nil {
-		v.settings.Logger.Info("versions of the targets' software recorded", "service", c.service, "versions", c.versions, "unlisted", c.unlisted, "revision", revision)
-		v.apply(storer.Item{Key: key, Value: value, Version: revision})
-	}
-}
-
-// Reset replaces what the store has.
-func (v *Versions) Reset(items []storer.Item, _ bool) {
-	present := make(map[string]bool, len(items))
-	for _, item := range items {
-		present[strings.TrimPrefix(item.Key, v.settings.Prefix)] = true
-		v.apply(item)
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for name, s := range v.services {
-		if !present[name] {
-			v.loseKey(s)
-		}
-	}
-	v.read = true
-}
-
-// HandleEvents applies changes in the store.
-func (v *Versions) HandleEvents(events []storer.Event, _ bool) {
-	for _, event := range events {
-		if event.Kind == storer.EventPut {
-			v.apply(event.Item)
-			continue
-		}
-		v.mu.Lock()
-		s := v.service(strings.TrimPrefix(event.Item.Key, v.settings.Prefix))
-		if event.Item.Version > s.revision {
-			v.loseKey(s)
-		}
-		v.mu.Unlock()
-	}
-}
-
-// apply uses what the store has of a service, unless that is older than what is known.
-func (v *Versions) apply(item storer.Item) {
-	name := strings.TrimPrefix(item.Key, v.settings.Prefix)
-	var wire wireVersions
-	if err := json.Unmarshal(item.Value, &wire); err != nil {
-		v.settings.Logger.Warn("invalid versions of the targets' software ignored", "key", item.Key, "error", err)
-		wire.Versions = nil
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	s := v.service(name)
-	if item.Version < s.revision {
-		return
-	}
-	recorded := make(map[string]bool, len(wire.Versions))
-	for _, version := range wire.Versions {
-		recorded[version] = true
-	}
-	if item.Version.Era() > s.revision.Era() {
-		v.lose(s, recorded)
-	}
-	s.recorded, s.revision, s.completeIn = recorded, item.Version, wire.Era
-	s.setMarks(wire.Unlisted, v.settings.Now())
-}
-
-// setMarks replaces the marks. Those that were there before have been seen for longer.
-func (s *service) setMarks(unlisted map[string]storer.Version, now time.Time) {
-	marks := make(map[string]mark, len(unlisted))
-	for version, after := range unlisted {
-		known, marked := s.unlisted[version]
-		if !marked || known.after != after {
-			known = mark{after: after, seen: now}
-		}
-		marks[version] = known
-	}
-	s.unlisted = marks
-}
-
-// loseKey records that the store doesn't have the key. The caller holds mu.
-func (v *Versions) loseKey(s *service) {
-	v.lose(s, nil)
-	s.recorded, s.revision, s.unlisted = make(map[string]bool), 0, nil
-}
-
-// lose keeps the versions that the store has lost, as if they had been listed until now. Daemons remove a version only by a write in
-// the same era. The caller holds mu.
-func (v *Versions) lose(s *service, left map[string]bool) {
-	s.witnessed = s.witnessed || s.revision != 0
-	for version := range s.recorded {
-		if !left[version] {
-			s.listed[version] = v.settings.Now()
-		}
-	}
-}
