--- a/cmd/rilld/hostile_limits_test.go
+++ b/cmd/rilld/hostile_limits_test.go
@@ -16,7 +16,8 @@
 	limitPause   = 300 * time.Millisecond
 )
 
-// casesBeyondMemory are crowds whose bodies are within a limit that is larger than the memory of the host. A body of fitting bytes just fits.
+// casesBeyondMemory are crowds whose bodies are within a limit that is larger than the memory of the host. The memory has room for one body of
+// fitting bytes.
 func casesBeyondMemory(head string, fitting int) []hostileCase {
 	return []hostileCase{
 		{"whole bodies that fit", "callers", 4, sendBody(head, fitting, 0, 0)},
--- a/drainer/socket.go
+++ b/drainer/socket.go
@@ -18,8 +18,8 @@
 	minBacklog   = 128
 )
 
-// limitBacklog bounds the connections that wait to be accepted. Each may have sent as much as an ordinary one, and no bound of the daemon counts
-// that. Those beyond it try again, as after the loss of a packet.
+// limitBacklog bounds the connections that wait to be accepted. Each may have filled its receive buffer, which no bound of the daemon counts. The
+// kernel leaves the first packets of others unanswered, so their callers send them again.
 func limitBacklog(listener net.Listener, maxConnections int) {
 	control(listener, func(fd int) {
 		_ = unix.Listen(fd, max(int(backlogRatio*float64(maxConnections)), minBacklog)) // Without it, only the default holds.
--- a/recorder/changes.go
+++ b/recorder/changes.go
@@ -25,8 +25,8 @@
 	unlisted map[string]storer.Version
 }
 
-// wanted returns the versions that the store should have, and their marks. What this daemon doesn't list is marked first: others may list it. It
-// is removed if the mark stands for removalMargin. The caller holds mu.
+// wanted returns the versions that the store should have, and the marks among them. A version that this daemon hasn't listed for the retention is
+// marked first, since others may list it, and removed when its mark has stood for removalMargin. The caller holds mu.
 func (v *Versions) wanted(s *service, now time.Time) (versions map[string]bool, unlisted map[string]storer.Version) {
 	versions = v.lately(s, now)
 	unlisted = make(map[string]storer.Version)
--- a/server/body.go
+++ b/server/body.go
@@ -19,9 +19,9 @@
 	serviceCopies = 1
 )
 
-// readBody reads a body within MaxBodyBytes, BodyTimeout and Memory, which a body has to fit that comes alone. The share has to be released; it is nil with a refusal. While the daemon
-// stops, it refuses the request instead. If reading fails, the read deadline stays on the connection, since the HTTP server goes on reading
-// the rest of the body.
+// readBody reads a body within MaxBodyBytes, BodyTimeout and Memory. A body that Memory has no room for even without other requests counts as too
+// large. The share has to be released; it is nil with a refusal. While the daemon stops, it refuses the request instead. If reading fails, the
+// read deadline stays on the connection, since the HTTP server goes on reading the rest of the body.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, account string, copies int) (body []byte, share *reserver.Share, refusal *refuser.Refusal) {
 	limit := min(s.settings.MaxBodyBytes, s.settings.Memory.LargestBody(copies))
 	if r.ContentLength > limit {
