drainer: one constant for what a field of a head holds

The heads of HTTP/1 and HTTP/2 had a constant of 160 bytes each for the same thing. The value and what it is used for stay. Tests of the package: green, also with the race detector.

--- a/drainer/bounds.go
+++ b/drainer/bounds.go
@@ -15,9 +15,9 @@
 	// freeHeadBytes is the length of a head that doesn't count, and headCopies how often net/http holds the rest while it reads it.
 	freeHeadBytes = 4 << 10
 	headCopies    = 3
-	// freeHeadFields is the number of fields that don't count, and fieldBytes what net/http holds for each of the others, however short.
+	// freeHeadFields is the number of fields that don't count, and headFieldBytes what net/http holds for a field of a head beside its text.
 	freeHeadFields = 64
-	fieldBytes     = 160
+	headFieldBytes = 160
 	// headStepBytes is how much memory is taken at once for a head.
 	headStepBytes = 16 << 10
 	// spareRatio is the part of the connections that is kept for new ones, for which older ones make room.
@@ -43,7 +43,7 @@
 	piece, _, _ = bytes.Cut(piece, headEnd)
 	c.headBytes += len(piece)
 	c.headFields += bytes.Count(piece, []byte{'\n'})
-	needed := headCopies*max(c.headBytes-freeHeadBytes, 0) + fieldBytes*max(c.headFields-freeHeadFields, 0)
+	needed := headCopies*max(c.headBytes-freeHeadBytes, 0) + headFieldBytes*max(c.headFields-freeHeadFields, 0)
 	if heads == nil || needed <= c.headTaken {
 		return nil
 	}
--- a/drainer/streams.go
+++ b/drainer/streams.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// streamBytes is what a request over HTTP/2 takes beside its head and its body, and headFieldBytes what a field of its head takes beside its text.
-	streamBytes    = 16 << 10
-	headFieldBytes = 160
+	// streamBytes is what a request over HTTP/2 takes beside its head and its body.
+	streamBytes = 16 << 10
 	// maxRefusing bounds the requests over HTTP/2 whose refusals wait for the caller to read them.
 	maxRefusing = 64
 )
