configurator: one predicate for a peer that is ahead

The check before a commit and the one at the start repeated the same three conditions, with another revision. Behaviour stays. Tests of the package: green, also with the race detector.

--- a/configurator/commit.go
+++ b/configurator/commit.go
@@ -104,7 +104,7 @@
 // the read began does not count as read.
 func (c *Configurator) checkPeers(ctx context.Context, end registrar.Revision) error {
 	peers := c.queryPeers(ctx)
-	if peers.err != nil || peers.reachable == 0 || end >= peers.highest {
+	if !peers.exceed(end) {
 		return nil
 	}
 	return &BehindError{Current: peers.highest}
--- a/configurator/follow.go
+++ b/configurator/follow.go
@@ -93,8 +93,13 @@
 	return peerView{highest: highest, reachable: reachable, err: err}
 }
 
+// exceed reports whether a reachable peer has a later revision than the given one.
+func (p peerView) exceed(revision registrar.Revision) bool {
+	return p.err == nil && p.reachable > 0 && revision < p.highest
+}
+
 func (c *Configurator) behindPeers(peers peerView) bool {
-	return peers.err == nil && peers.reachable > 0 && c.Digest().Revision < peers.highest
+	return peers.exceed(c.Digest().Revision)
 }
 
 // caughtUp reports whether the daemon has applied the highest revision that the peers and the
