reserver: what is decoded takes the memory's lock once

Share.GrowDecoded took it three times for each read of a message: for the check, for the memory and for the sum. The check and the growth run under one lock now, which is still released while a request waits for room. Behaviour stays. Tests of reserver, delegator, operator and server: green, reserver also with the race detector; TestParsedRequestsOfFrontStayWithinMemory: green.

--- a/reserver/share.go
+++ b/reserver/share.go
@@ -39,32 +39,35 @@
 
 // Grow takes more memory. It waits only for that of requests which have just lost their place.
 func (s *Share) Grow(ctx context.Context, bytes int) (err error) {
+	if s == nil {
+		return nil
+	}
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
 	return s.grow(ctx, bytes, (*Memory).fits)
 }
 
 // GrowDecoded takes more memory for what is decoded of a request. The limits on the sizes of requests don't bound it, so it may be refused
 // also if no other request is open.
 func (s *Share) GrowDecoded(ctx context.Context, bytes int) (err error) {
+	if s == nil {
+		return nil
+	}
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
 	if err := s.checkDecoded(bytes); err != nil {
 		return err
 	}
-	if err := s.grow(ctx, bytes, (*Memory).fitsDecoded); s == nil || err != nil {
+	if err := s.grow(ctx, bytes, (*Memory).fitsDecoded); err != nil {
 		return err
 	}
-	s.memory.mu.Lock()
-	defer s.memory.mu.Unlock()
 	s.decoded += int64(bytes)
 	return nil
 }
 
-// checkDecoded returns a TooLargeError if the memory would not do even without other requests.
+// checkDecoded returns a TooLargeError if the memory would not do even without other requests. The caller holds the memory's lock.
 func (s *Share) checkDecoded(bytes int) error {
-	if s == nil {
-		return nil
-	}
 	m := s.memory
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	most := max(m.littleDecoded(), m.bodiesBytes-(s.held-s.decoded))
 	if s.decoded+int64(bytes) > most {
 		return &TooLargeError{Limit: most}
@@ -72,14 +75,12 @@
 	return nil
 }
 
-// grow takes more memory if it fits.
+// grow takes more memory if it fits. The caller holds the memory's lock, which is released during a wait.
 func (s *Share) grow(ctx context.Context, bytes int, fits func(*Memory, *Share, int64) (room, accountRoom bool)) (err error) {
-	if s == nil || bytes == 0 {
+	if bytes == 0 {
 		return nil
 	}
 	m := s.memory
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	var timeout <-chan time.Time
 	for {
 		if s.evicted {
