--- a/review/standin3/restored.go
+++ b/review/standin3/restored.go
@@ -71,10 +71,10 @@
 	return judgeStreams(f, end())
 }
 
-// startReplicas starts three replicas of one service with the first software.
+// startReplicas starts five replicas of one service with the first software.
 func startReplicas(f *fleet, storeAway *atomic.Bool) (replicas []*replica, err error) {
-	for i := range 3 {
-		r := &replica{fleet: f, service: "engines", zone: daemonZones[i], model: "m", storeAway: storeAway, answer: answerStream}
+	for i := range 5 {
+		r := &replica{fleet: f, service: "engines", zone: daemonZones[i%len(daemonZones)], model: "m", storeAway: storeAway, answer: answerStream}
 		if _, err := r.start(fmt.Sprintf("i-%d", i), "v1"); err != nil {
 			return nil, err
 		}
--- a/review/standin3/versions.go
+++ b/review/standin3/versions.go
@@ -23,7 +23,7 @@
 	storeLead  = 100 * time.Millisecond
 	restartGap = 600 * time.Millisecond
 	// streamPause is the time between two streams.
-	streamPause = 40 * time.Millisecond
+	streamPause = 25 * time.Millisecond
 	// allowedMixed is how many streams may hold events of two versions.
 	allowedMixed = 2
 )
